--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -0,0 +1,208 @@
+package org.bramleylatch.core;
+
+import java.util.Optional;
+import org.bramleylatch.core.RequestRow.Stage;
+import org.bramleylatch.core.RouterInput.IntentLost;
+import org.bramleylatch.core.RouterInput.IntentRefused;
+import org.bramleylatch.core.RouterInput.IntentWon;
+import org.bramleylatch.core.RouterInput.RequestArrived;
+import org.bramleylatch.core.RouterInput.ReserveGranted;
+import org.bramleylatch.core.RouterInput.ReserveRefused;
+
+/** Brings a request from its arrival to the queue: tokens set aside, single run claimed. */
+record Admission(RouterWorld world, RouterLimits limits, long nowMillis) {
+
+    /** Admits a request or refuses it at once. */
+    boolean admit(RequestArrived arrived) {
+        RequestRow row = RequestRow.of(arrived.spec());
+        Optional<ResultCode> refusal = refusal(row.spec());
+        if (refusal.isPresent()) {
+            refuseUnknown(row, refusal.get());
+            return false;
+        }
+        world.requests().put(row.spec().id(), row);
+        world.requestsByKey().put(row.spec().key(), row.spec().id());
+        RetryRow allowance = world.retries().findOrAdd(row.spec().route().name(), RetryRow::full);
+        world.retries().put(row.spec().route().name(), allowance.earned(limits.retryPermille()));
+        world.timers()
+                .set(new RouterTimer.RequestDeadline(row.spec().id()), row.spec().deadlineMillis());
+        world.note(EventKind.REQUEST_ARRIVED, row.spec().key(), describe(row.spec()));
+        next(row);
+        return true;
+    }
+
+    /** Takes the grant that pays, unless the request went on without it. */
+    boolean reserved(ReserveGranted granted) {
+        Optional<RequestRow> row =
+                world.requestOf(granted.key())
+                        .filter(found -> found.stage() == Stage.RESERVING)
+                        .filter(
+                                found ->
+                                        found.keeper()
+                                                .filter(granted.keeper()::equals)
+                                                .isPresent());
+        if (row.isEmpty()) {
+            world.send(
+                    new RouterOutput.ToKeeper(
+                            granted.keeper(),
+                            new KeeperInput.ReservationReleased(world.self(), granted.key())));
+            return false;
+        }
+        world.timers().clear(new RouterTimer.ReserveWait(row.get().spec().id()));
+        next(row.get().reserved(granted.grant()));
+        return true;
+    }
+
+    /** Refuses a request for which no tokens could be set aside. */
+    boolean refused(ReserveRefused refused) {
+        Optional<RequestRow> row =
+                world.requestOf(refused.key())
+                        .filter(found -> found.stage() == Stage.RESERVING)
+                        .filter(
+                                found ->
+                                        found.keeper()
+                                                .filter(refused.keeper()::equals)
+                                                .isPresent());
+        row.ifPresent(
+                found -> Outcomes.refuse(world, found, refused.code(), "no tokens set aside"));
+        return row.isPresent();
+    }
+
+    /** Queues a request whose single run is claimed. */
+    boolean claimed(IntentWon won) {
+        Optional<RequestRow> row = claiming(won.key());
+        if (row.isEmpty()) {
+            abandonClaim(won.key());
+            return false;
+        }
+        queue(row.get());
+        return true;
+    }
+
+    /** Answers a request that another run was claimed for. */
+    boolean lost(IntentLost lost) {
+        Optional<RequestRow> row = claiming(lost.winner().key());
+        row.ifPresent(found -> answerFrom(found, lost.winner()));
+        return row.isPresent();
+    }
+
+    /** Refuses a request that could not be claimed. */
+    boolean unclaimed(IntentRefused refused) {
+        Optional<RequestRow> row = claiming(refused.key());
+        row.ifPresent(found -> Outcomes.refuse(world, found, refused.code(), "not claimed"));
+        return row.isPresent();
+    }
+
+    /** Asks the keeper of the request's budget; without a reachable one the request is refused. */
+    static void askKeeper(RouterWorld world, RequestRow row) {
+        RequestSpec spec = row.spec();
+        Optional<Incarnation> keeper = world.keeperOf(spec.budget());
+        if (keeper.isEmpty()) {
+            Outcomes.refuse(world, row, ResultCode.BUDGET_UNAVAILABLE, "no keeper");
+            return;
+        }
+        world.requests().put(spec.id(), row.asked(keeper.get()));
+        world.send(
+                new RouterOutput.ToKeeper(
+                        keeper.get(),
+                        new KeeperInput.ReserveAsked(
+                                world.self(), spec.key(), spec.budget(), spec.worstCaseTokens())));
+    }
+
+    private Optional<ResultCode> refusal(RequestSpec spec) {
+        if (world.isStopping()) {
+            return Optional.of(ResultCode.SHUTTING_DOWN);
+        }
+        if (!spec.route().repeatable() && !spec.keyGiven()) {
+            return Optional.of(ResultCode.IDEMPOTENCY_KEY_MISSING);
+        }
+        if (KeyWindow.isExpired(spec.key(), nowMillis)) {
+            return Optional.of(ResultCode.IDEMPOTENCY_KEY_EXPIRED);
+        }
+        if (world.requestsByKey().has(spec.key()) || world.settlements().has(spec.key())) {
+            return Optional.of(ResultCode.INTENT_IN_PROGRESS);
+        }
+        return world.queued().size() >= limits.mostQueued()
+                ? Optional.of(ResultCode.OVERLOADED)
+                : Optional.empty();
+    }
+
+    private void refuseUnknown(RequestRow row, ResultCode code) {
+        world.send(
+                new RouterOutput.Refuse(
+                        row.spec().id(), code, Outcomes.knownRun(code, RunState.NOT_RUN), ""));
+        world.note(EventKind.REQUEST_REFUSED, row.spec().key(), code.toString());
+    }
+
+    private void next(RequestRow row) {
+        RequestSpec spec = row.spec();
+        if (row.grant().isEmpty() && spec.worstCaseTokens() > 0) {
+            world.timers()
+                    .set(
+                            new RouterTimer.ReserveWait(spec.id()),
+                            nowMillis + limits.reserveMillis());
+            askKeeper(world, row);
+        } else if (!spec.route().repeatable()) {
+            claim(row);
+        } else {
+            queue(row);
+        }
+    }
+
+    private void claim(RequestRow row) {
+        RequestSpec spec = row.spec();
+        Optional<Incarnation> keeper =
+                row.keeper().isPresent() ? row.keeper() : world.keeperOf(spec.budget());
+        if (keeper.isEmpty()) {
+            Outcomes.refuse(world, row, ResultCode.LOG_UNAVAILABLE, "no keeper");
+            return;
+        }
+        world.requests().put(spec.id(), row.asked(keeper.get()).in(Stage.CLAIMING));
+        world.send(
+                new RouterOutput.ToKeeper(
+                        keeper.get(),
+                        new KeeperInput.IntentAsked(world.self(), spec.key(), spec.budget())));
+    }
+
+    private void queue(RequestRow row) {
+        world.requests().put(row.spec().id(), row.in(Stage.QUEUED));
+        world.queued().add(row.spec().id());
+    }
+
+    private Optional<RequestRow> claiming(RequestKey key) {
+        return world.requestOf(key).filter(found -> found.stage() == Stage.CLAIMING);
+    }
+
+    private void abandonClaim(RequestKey key) {
+        world.keepers().stream()
+                .findFirst()
+                .ifPresent(
+                        keeper ->
+                                world.send(
+                                        new RouterOutput.ToKeeper(
+                                                keeper,
+                                                new KeeperInput.IntentEnded(
+                                                        key,
+                                                        world.self(),
+                                                        RunState.NOT_RUN,
+                                                        0,
+                                                        ""))));
+    }
+
+    private void answerFrom(RequestRow row, IntentRow winner) {
+        if (winner.finished() && winner.state() == RunState.RAN) {
+            Outcomes.deliverService(world, row, winner.status(), winner.body());
+        } else {
+            Outcomes.refuse(world, row, ResultCode.OUTCOME_UNKNOWN, "claimed before");
+        }
+    }
+
+    private static String describe(RequestSpec spec) {
+        return "route="
+                + spec.route().name()
+                + " budget="
+                + spec.budget()
+                + " worstCase="
+                + spec.worstCaseTokens();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/AttemptRow.java
@@ -0,0 +1,47 @@
+package org.bramleylatch.core;
+
+/**
+ * Is one running try of a request at an endpoint.
+ *
+ * @param heldTokens what the attempt may need in the endpoint's memory
+ * @param nextPosition the position of the next token that is expected
+ * @param startedMillis when the attempt was started
+ * @param progressMillis when the last message of it came
+ * @param paused true while the caller reads too slowly
+ */
+public record AttemptRow(
+        AttemptId id,
+        RequestId request,
+        EndpointId endpoint,
+        long heldTokens,
+        long nextPosition,
+        long startedMillis,
+        long progressMillis,
+        boolean paused) {
+
+    /** Returns the attempt after tokens arrived in order. */
+    public AttemptRow advanced(long tokens, long nowMillis) {
+        return new AttemptRow(
+                id,
+                request,
+                endpoint,
+                heldTokens,
+                nextPosition + tokens,
+                startedMillis,
+                nowMillis,
+                paused);
+    }
+
+    /** Returns the attempt as paused or not. */
+    public AttemptRow paused(boolean isPaused, long nowMillis) {
+        return new AttemptRow(
+                id,
+                request,
+                endpoint,
+                heldTokens,
+                nextPosition,
+                startedMillis,
+                nowMillis,
+                isPaused);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/BudgetId.java
@@ -0,0 +1,31 @@
+package org.bramleylatch.core;
+
+import static java.util.Objects.requireNonNull;
+
+/** Identifies a prepaid budget. */
+public record BudgetId(String value) implements Comparable<BudgetId> {
+
+    /** Checks that the budget id is present. */
+    public BudgetId {
+        requireNonNull(value, "budget id");
+    }
+
+    /**
+     * Returns the budget id with the given text.
+     *
+     * @param value the text, not null
+     */
+    public static BudgetId of(String value) {
+        return new BudgetId(value);
+    }
+
+    @Override
+    public int compareTo(BudgetId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
@@ -0,0 +1,60 @@
+package org.bramleylatch.core;
+
+/**
+ * Shares a budget by forecast demand.
+ *
+ * @param horizonHours for how long a holder should be able to serve while cut off
+ * @param smallestTokens the smallest amount worth asking for
+ */
+record DemandGrantPolicy(double horizonHours, long smallestTokens) implements GrantPolicy {
+    private static final double LOW_WATERMARK = 0.5;
+    private static final double HIGH_WATERMARK = 2.0;
+
+    @Override
+    public GrantPlan plan(GrantView view) {
+        long target = targetTokens(view);
+        if (view.availableTokens() < view.neededTokens()) {
+            return GrantPlan.ask(
+                    Math.max(view.neededTokens() - view.availableTokens(), missing(view, target)));
+        }
+        if (view.wantedByOthersTokens() > 0 && view.neededTokens() == 0) {
+            return GrantPlan.giveBack(tokensToGiveWay(view, target));
+        }
+        if (isWorthAsking(view, target)) {
+            return GrantPlan.ask(Math.min(missing(view, target), view.budget().freeTokens()));
+        }
+        return surplus(view, target);
+    }
+
+    private long targetTokens(GrantView view) {
+        double own = Math.max(1, view.demandTokensPerHour());
+        double share = view.spendableTokens() * own / (own + view.demandOfOthersPerHour());
+        double horizon = view.demandTokensPerHour() * horizonHours + smallestTokens;
+        return (long) Math.max(0, Math.min(share, horizon));
+    }
+
+    private long missing(GrantView view, long target) {
+        return Math.max(0, target - view.ownOpenTokens());
+    }
+
+    private boolean isWorthAsking(GrantView view, long target) {
+        return view.demandTokensPerHour() > 0
+                && view.ownOpenTokens() < target * LOW_WATERMARK
+                && Math.min(missing(view, target), view.budget().freeTokens()) >= smallestTokens;
+    }
+
+    private long tokensToGiveWay(GrantView view, long target) {
+        long wanted = view.wantedByOthersTokens();
+        long available = view.availableTokens();
+        long spare = Math.max(0, available - target);
+        long half = available <= smallestTokens ? available : available / 2;
+        return Math.min(Math.min(wanted, available), Math.max(spare, half));
+    }
+
+    private GrantPlan surplus(GrantView view, long target) {
+        long over = view.availableTokens() - target;
+        return view.availableTokens() > target * HIGH_WATERMARK + smallestTokens
+                ? GrantPlan.giveBack(over)
+                : GrantPlan.keep();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -0,0 +1,139 @@
+package org.bramleylatch.core;
+
+import java.util.Optional;
+
+/**
+ * Is one endpoint as this router sees it.
+ *
+ * @param memoryTokens how many tokens the endpoint can hold at once; 0 for a plain service
+ * @param leaving true once the endpoint or the platform's list says that it leaves
+ * @param sentTokens what this router's running requests may need there
+ * @param outstanding how many of this router's requests run there
+ * @param reportedTokens what the endpoint last said it holds for all routers
+ * @param sentAtReportTokens what this router had there when that report came
+ * @param failures failed attempts since the last good one
+ * @param ejectedUntilMillis no new work before this time
+ */
+public record EndpointRow(
+        EndpointId id,
+        String backEnd,
+        Zone zone,
+        Version version,
+        long memoryTokens,
+        boolean leaving,
+        long sentTokens,
+        int outstanding,
+        long reportedTokens,
+        long sentAtReportTokens,
+        int failures,
+        long ejectedUntilMillis) {
+    private static final int FAILURES_TO_EJECT = 3;
+    private static final long EJECT_MILLIS = 2_000;
+    private static final int MOST_DOUBLINGS = 4;
+
+    /** Returns an endpoint that nothing was sent to. */
+    public static EndpointRow of(
+            EndpointId id, String backEnd, Zone zone, Version version, long memoryTokens) {
+        return new EndpointRow(id, backEnd, zone, version, memoryTokens, false, 0, 0, 0, 0, 0, 0);
+    }
+
+    /** Returns what the endpoint is thought to hold: its last report and what was sent since. */
+    public long heldTokens() {
+        return Math.max(sentTokens, reportedTokens + sentTokens - sentAtReportTokens);
+    }
+
+    /** Returns true if a request of the given size fits into the endpoint's memory. */
+    public boolean fits(long tokens) {
+        return memoryTokens == 0 || heldTokens() + tokens <= memoryTokens;
+    }
+
+    /** Returns the filled part of the memory after a request of the given size, 1 for all. */
+    public double loadWith(long tokens) {
+        return memoryTokens == 0 ? outstanding : (heldTokens() + tokens) / (double) memoryTokens;
+    }
+
+    /** Returns true if new work may be sent at the given time. */
+    public boolean isOpen(long nowMillis) {
+        return !leaving && nowMillis >= ejectedUntilMillis;
+    }
+
+    /** Returns the endpoint after a request was sent (positive) or ended (negative). */
+    public EndpointRow sent(long tokens, int requests) {
+        return with(
+                leaving, sentTokens + tokens, outstanding + requests, failures, ejectedUntilMillis);
+    }
+
+    /** Returns the endpoint as leaving or not. */
+    public EndpointRow leaving(boolean isLeaving) {
+        return with(isLeaving, sentTokens, outstanding, failures, ejectedUntilMillis);
+    }
+
+    /** Returns the endpoint after an attempt went well. */
+    public EndpointRow succeeded() {
+        return with(leaving, sentTokens, outstanding, 0, 0);
+    }
+
+    /** Returns the endpoint after an attempt failed; repeated failures keep new work away. */
+    public EndpointRow failed(long nowMillis) {
+        int count = failures + 1;
+        int doublings = Math.min(MOST_DOUBLINGS, count - FAILURES_TO_EJECT);
+        long until = count < FAILURES_TO_EJECT ? 0 : nowMillis + (EJECT_MILLIS << doublings);
+        return with(leaving, sentTokens, outstanding, count, until);
+    }
+
+    /** Returns the endpoint after it told what it holds. */
+    public EndpointRow reported(long tokens) {
+        return new EndpointRow(
+                id,
+                backEnd,
+                zone,
+                version,
+                memoryTokens,
+                leaving,
+                sentTokens,
+                outstanding,
+                tokens,
+                sentTokens,
+                failures,
+                ejectedUntilMillis);
+    }
+
+    /** Returns the endpoint of a new listing with what this router knows of the old one. */
+    public EndpointRow listed(EndpointRow listing) {
+        return new EndpointRow(
+                id,
+                listing.backEnd,
+                listing.zone,
+                listing.version,
+                listing.memoryTokens,
+                listing.leaving || leaving,
+                sentTokens,
+                outstanding,
+                reportedTokens,
+                sentAtReportTokens,
+                failures,
+                ejectedUntilMillis);
+    }
+
+    /** Returns the row if it still matters: it is listed, or requests run there. */
+    public Optional<EndpointRow> ifUsed(boolean isListed) {
+        return isListed || outstanding > 0 ? Optional.of(this) : Optional.empty();
+    }
+
+    private EndpointRow with(
+            boolean isLeaving, long tokens, int requests, int failed, long ejectedUntil) {
+        return new EndpointRow(
+                id,
+                backEnd,
+                zone,
+                version,
+                memoryTokens,
+                isLeaving,
+                tokens,
+                requests,
+                reportedTokens,
+                sentAtReportTokens,
+                failed,
+                ejectedUntil);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Fleet.java
@@ -0,0 +1,100 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.bramleylatch.core.RouterInput.ConfigurationSeen;
+import org.bramleylatch.core.RouterInput.EndpointReported;
+import org.bramleylatch.core.RouterInput.EndpointsListed;
+import org.bramleylatch.core.RouterInput.KeeperDown;
+import org.bramleylatch.core.RouterInput.KeeperUp;
+
+/** Keeps a router's view of the configuration, the endpoints and the keepers. */
+record Fleet(RouterWorld world, long nowMillis) {
+
+    /** Takes a configuration unless it is older than the one in force. */
+    boolean configure(ConfigurationSeen seen) {
+        boolean newer = seen.configuration().revision() > world.configuration().revision();
+        if (newer) {
+            world.setConfiguration(seen.configuration());
+            world.note(
+                    EventKind.CONFIGURATION_APPLIED,
+                    "configuration",
+                    "revision=" + seen.configuration().revision());
+        }
+        return newer;
+    }
+
+    /** Takes the platform's list; endpoints that left it get no new work. */
+    boolean list(EndpointsListed listed) {
+        Map<EndpointId, EndpointRow> byId =
+                listed.endpoints().stream()
+                        .collect(Collectors.toMap(EndpointRow::id, Function.identity()));
+        List<EndpointRow> known = world.endpoints().where(row -> true);
+        known.stream().filter(row -> !byId.containsKey(row.id())).forEach(this::unlist);
+        byId.values().forEach(this::merge);
+        return true;
+    }
+
+    /** Takes an endpoint's own word on its load and on whether it leaves. */
+    boolean report(EndpointReported report) {
+        Optional<EndpointRow> before = world.endpoints().find(report.endpoint());
+        before.filter(row -> !row.leaving() && report.leaving())
+                .ifPresent(row -> world.note(EventKind.ENDPOINT_LEAVING, row.id(), "own word"));
+        return world.endpoints()
+                .update(
+                        report.endpoint(),
+                        row -> row.reported(report.heldTokens()).leaving(report.leaving()))
+                .isPresent();
+    }
+
+    /** Takes a keeper into use. */
+    boolean keeperUp(KeeperUp up) {
+        return world.keepers().add(up.keeper());
+    }
+
+    /** Moves what waited for a lost keeper to another one. */
+    boolean keeperDown(KeeperDown down) {
+        world.keepers().remove(down.keeper());
+        world.settlements()
+                .where(row -> row.keeper().filter(down.keeper()::equals).isPresent())
+                .forEach(row -> world.settlements().put(row.usage().key(), row.lost()));
+        world.requests()
+                .where(row -> row.keeper().filter(down.keeper()::equals).isPresent())
+                .forEach(this::keeperLost);
+        return true;
+    }
+
+    /** Begins a planned stop. */
+    boolean stop() {
+        world.setStopping();
+        return true;
+    }
+
+    private void keeperLost(RequestRow row) {
+        if (row.stage() == RequestRow.Stage.RESERVING) {
+            Admission.askKeeper(world, row);
+        } else if (row.stage() == RequestRow.Stage.CLAIMING) {
+            Outcomes.refuse(world, row, ResultCode.LOG_UNAVAILABLE, "keeper lost");
+        }
+    }
+
+    private void merge(EndpointRow listing) {
+        EndpointRow merged =
+                world.endpoints()
+                        .find(listing.id())
+                        .map(old -> old.listed(listing))
+                        .orElse(listing);
+        world.endpoints().put(listing.id(), merged);
+    }
+
+    private void unlist(EndpointRow row) {
+        if (row.outstanding() > 0) {
+            world.endpoints().put(row.id(), row.leaving(true));
+        } else {
+            world.endpoints().remove(row.id());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/HoldingRow.java
@@ -0,0 +1,80 @@
+package org.bramleylatch.core;
+
+/**
+ * Is what this keeper does with its own grant of one budget, in tokens.
+ *
+ * @param reservedTokens set aside for running requests
+ * @param pendingTokens used and not yet read back from the log
+ * @param returningTokens given back and not yet read back from the log
+ * @param askInFlight true while an ask has not been read back
+ * @param demandTokensPerHour the forecast, from what was reserved lately
+ * @param demandMillis when the forecast was last brought up to date
+ */
+public record HoldingRow(
+        BudgetId budget,
+        long reservedTokens,
+        long pendingTokens,
+        long returningTokens,
+        boolean askInFlight,
+        double demandTokensPerHour,
+        long demandMillis) {
+
+    /** The time in which the weight of past demand halves, in milliseconds. */
+    public static final long DEMAND_HALF_LIFE_MILLIS = 10 * 60 * 1000L;
+
+    private static final double MILLIS_PER_HOUR = 60 * 60 * 1000.0;
+
+    /** Returns a holding of which nothing is in use. */
+    public static HoldingRow of(BudgetId budget, long nowMillis) {
+        return new HoldingRow(budget, 0, 0, 0, false, 0, nowMillis);
+    }
+
+    /** Returns the tokens that are spoken for. */
+    public long boundTokens() {
+        return reservedTokens + pendingTokens + returningTokens;
+    }
+
+    /** Returns the holding after the reserved tokens changed by the given amount. */
+    public HoldingRow reserved(long tokens) {
+        return with(reservedTokens + tokens, pendingTokens, returningTokens, askInFlight);
+    }
+
+    /** Returns the holding after the pending usage changed by the given amount. */
+    public HoldingRow pending(long tokens) {
+        return with(reservedTokens, pendingTokens + tokens, returningTokens, askInFlight);
+    }
+
+    /** Returns the holding after the tokens on their way back changed by the given amount. */
+    public HoldingRow returning(long tokens) {
+        return with(reservedTokens, pendingTokens, returningTokens + tokens, askInFlight);
+    }
+
+    /** Returns the holding with or without an ask in flight. */
+    public HoldingRow asking(boolean inFlight) {
+        return with(reservedTokens, pendingTokens, returningTokens, inFlight);
+    }
+
+    /** Returns the holding after a request for the given tokens arrived. */
+    public HoldingRow demanded(long tokens, long nowMillis) {
+        double added = tokens * Math.log(2) * MILLIS_PER_HOUR / DEMAND_HALF_LIFE_MILLIS;
+        return new HoldingRow(
+                budget,
+                reservedTokens,
+                pendingTokens,
+                returningTokens,
+                askInFlight,
+                demandAt(nowMillis) + added,
+                nowMillis);
+    }
+
+    /** Returns the forecast at the given time, in tokens an hour. */
+    public double demandAt(long nowMillis) {
+        double halfLives = (nowMillis - demandMillis) / (double) DEMAND_HALF_LIFE_MILLIS;
+        return demandTokensPerHour * Math.pow(0.5, Math.max(0, halfLives));
+    }
+
+    private HoldingRow with(long reserved, long pending, long returning, boolean asking) {
+        return new HoldingRow(
+                budget, reserved, pending, returning, asking, demandTokensPerHour, demandMillis);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Incarnation.java
@@ -0,0 +1,31 @@
+package org.bramleylatch.core;
+
+import static java.util.Objects.requireNonNull;
+
+/** Identifies one run of one process; a restart gets a new value. */
+public record Incarnation(String value) implements Comparable<Incarnation> {
+
+    /** Checks that the incarnation id is present. */
+    public Incarnation {
+        requireNonNull(value, "incarnation id");
+    }
+
+    /**
+     * Returns the incarnation id with the given text.
+     *
+     * @param value the text, not null
+     */
+    public static Incarnation of(String value) {
+        return new Incarnation(value);
+    }
+
+    @Override
+    public int compareTo(Incarnation other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/IntentRow.java
@@ -0,0 +1,35 @@
+package org.bramleylatch.core;
+
+/**
+ * Is the claim on the single run of a request that may not be repeated.
+ *
+ * @param offset the position of the winning record
+ * @param finished true once the outcome is known
+ * @param state what is known about the run
+ * @param status the service's HTTP status, 0 while unknown
+ * @param body the service's answer, empty while unknown
+ */
+public record IntentRow(
+        RequestKey key,
+        Incarnation router,
+        long offset,
+        boolean finished,
+        RunState state,
+        int status,
+        String body) {
+
+    /** Returns an intent whose outcome is not known. */
+    public static IntentRow of(RequestKey key, Incarnation router, long offset) {
+        return new IntentRow(key, router, offset, false, RunState.UNKNOWN, 0, "");
+    }
+
+    /** Returns the intent with its outcome. */
+    public IntentRow finish(RunState outcome, int answerStatus, String answerBody) {
+        return new IntentRow(key, router, offset, true, outcome, answerStatus, answerBody);
+    }
+
+    /** Returns true if the request is known not to have run, so that a retry may claim it. */
+    public boolean abandoned() {
+        return finished && state == RunState.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -0,0 +1,200 @@
+package org.bramleylatch.core;
+
+import java.util.Optional;
+import org.bramleylatch.core.KeeperInput.AppendDone;
+import org.bramleylatch.core.KeeperInput.AttemptNoted;
+import org.bramleylatch.core.KeeperInput.EndpointReported;
+import org.bramleylatch.core.KeeperInput.EntriesRead;
+import org.bramleylatch.core.KeeperInput.IntentAsked;
+import org.bramleylatch.core.KeeperInput.IntentEnded;
+import org.bramleylatch.core.KeeperInput.LogSeen;
+import org.bramleylatch.core.KeeperInput.ReservationReleased;
+import org.bramleylatch.core.KeeperInput.ReserveAsked;
+import org.bramleylatch.core.KeeperInput.RouterLost;
+import org.bramleylatch.core.KeeperInput.SnapshotLoaded;
+import org.bramleylatch.core.KeeperInput.StopAsked;
+import org.bramleylatch.core.KeeperInput.UsageGiven;
+
+/** Puts what arrived into the keeper's tables. */
+record KeeperInbox(KeeperLimits limits) implements TickSystem<KeeperWorld> {
+    private static final int MOST_MESSAGES = 2_000;
+
+    @Override
+    public void run(KeeperWorld world, long nowMillis) {
+        Handlers handlers = new Handlers(world, limits, nowMillis);
+        Dispatch<KeeperInput, Boolean> table = handlers.table();
+        world.inbox().take(MOST_MESSAGES).forEach(table::apply);
+    }
+
+    /** Handles the messages of one tick. */
+    private record Handlers(KeeperWorld world, KeeperLimits limits, long nowMillis) {
+
+        Dispatch<KeeperInput, Boolean> table() {
+            return Dispatch.<KeeperInput, Boolean>empty()
+                    .on(ReserveAsked.class, this::reserve)
+                    .on(AttemptNoted.class, this::noteAttempt)
+                    .on(UsageGiven.class, this::hold)
+                    .on(ReservationReleased.class, ask -> Reservations.drop(world, ask.key()))
+                    .on(IntentAsked.class, this::claim)
+                    .on(IntentEnded.class, this::finish)
+                    .on(RouterLost.class, this::loseRouter)
+                    .on(EndpointReported.class, this::settleOrphan)
+                    .on(EntriesRead.class, this::fold)
+                    .on(SnapshotLoaded.class, this::load)
+                    .on(AppendDone.class, this::acknowledge)
+                    .on(LogSeen.class, this::seeLog)
+                    .on(StopAsked.class, message -> stop());
+        }
+
+        private boolean reserve(ReserveAsked ask) {
+            Optional<ResultCode> refusal = refusal(ask);
+            if (refusal.isPresent()) {
+                world.outbox()
+                        .add(
+                                new KeeperOutput.ReserveRefused(
+                                        ask.router(), ask.key(), refusal.get()));
+                return false;
+            }
+            Reservations.adopt(world, ask.key());
+            world.waiting()
+                    .put(
+                            ask.key(),
+                            ReservationRow.of(ask.key(), ask.router(), ask.budget(), ask.tokens()));
+            HoldingRow holding = world.holding(ask.budget(), nowMillis);
+            world.holdings().put(ask.budget(), holding.demanded(ask.tokens(), nowMillis));
+            KeeperTimer wait = new KeeperTimer.ReserveWait(ask.key());
+            world.timers().set(wait, nowMillis + limits.reserveWaitMillis());
+            armReview();
+            return world.touched().add(ask.budget());
+        }
+
+        private Optional<ResultCode> refusal(ReserveAsked ask) {
+            if (world.isStopping()) {
+                return Optional.of(ResultCode.SHUTTING_DOWN);
+            }
+            if (world.waiting().has(ask.key()) || isHeldByLiving(ask.key())) {
+                return Optional.of(ResultCode.INTENT_IN_PROGRESS);
+            }
+            return world.pendingUsages().has(ask.key())
+                            || world.ledger().settledKeys().has(ask.key())
+                    ? Optional.of(ResultCode.USAGE_ALREADY_SETTLED)
+                    : Optional.empty();
+        }
+
+        private boolean isHeldByLiving(RequestKey key) {
+            return world.reservations().find(key).filter(row -> !row.orphaned()).isPresent();
+        }
+
+        private void armReview() {
+            if (!world.timers().has(new KeeperTimer.Review())) {
+                world.timers().set(new KeeperTimer.Review(), nowMillis + limits.reviewMillis());
+            }
+        }
+
+        private boolean noteAttempt(AttemptNoted note) {
+            return world.reservations()
+                    .update(note.key(), row -> row.noted(note.attempt(), note.endpoint()))
+                    .isPresent();
+        }
+
+        private boolean hold(UsageGiven given) {
+            RequestKey key = given.usage().key();
+            world.outbox().add(new KeeperOutput.UsageHeld(given.router(), key));
+            if (world.pendingUsages().has(key)) {
+                return false;
+            }
+            if (world.ledger().settledKeys().has(key)) {
+                Reservations.drop(world, key);
+                world.outbox().add(new KeeperOutput.UsageDurable(given.router(), key));
+                return false;
+            }
+            Reservations.settle(world, given.grant(), given.usage(), Optional.of(given.router()));
+            return true;
+        }
+
+        private boolean claim(IntentAsked ask) {
+            if (!world.isLogReachable() || world.isStopping()) {
+                return refuseClaim(ask, ResultCode.LOG_UNAVAILABLE);
+            }
+            if (world.intentAsks().has(ask.key())) {
+                return refuseClaim(ask, ResultCode.INTENT_IN_PROGRESS);
+            }
+            world.intentAsks().put(ask.key(), new IntentAskRow(ask.key(), ask.router(), false));
+            KeeperTimer wait = new KeeperTimer.IntentWait(ask.key());
+            world.timers().set(wait, nowMillis + limits.intentWaitMillis());
+            world.append(new LedgerRecord.IntentDeclared(ask.key(), ask.router(), ask.budget()));
+            return true;
+        }
+
+        private boolean refuseClaim(IntentAsked ask, ResultCode code) {
+            world.outbox().add(new KeeperOutput.IntentRefused(ask.router(), ask.key(), code));
+            return false;
+        }
+
+        private boolean finish(IntentEnded end) {
+            world.append(
+                    new LedgerRecord.IntentFinished(
+                            end.key(), end.router(), end.state(), end.status(), end.body()));
+            world.note(EventKind.INTENT_FINISHED, end.key(), "status=" + end.status());
+            return true;
+        }
+
+        private boolean loseRouter(RouterLost lost) {
+            world.waiting()
+                    .where(row -> row.router().equals(lost.router()))
+                    .forEach(row -> Reservations.drop(world, row.key()));
+            world.reservations()
+                    .where(row -> row.router().equals(lost.router()))
+                    .forEach(row -> Reservations.orphan(world, row, nowMillis));
+            return true;
+        }
+
+        private boolean settleOrphan(EndpointReported report) {
+            Optional<ReservationRow> row =
+                    world.reservations().find(report.key()).filter(ReservationRow::orphaned);
+            if (row.isPresent() && report.tokens().isPresent()) {
+                long tokens = Math.min(report.tokens().getAsLong(), row.get().tokens());
+                GrantKey grant = GrantKey.of(row.get().budget(), world.self());
+                Usage usage = Usage.of(report.key(), tokens);
+                Reservations.settle(world, grant, usage, Optional.empty());
+            }
+            return row.isPresent();
+        }
+
+        private boolean fold(EntriesRead read) {
+            read.entries().forEach(entry -> ReadBack.apply(world, entry));
+            return seeLog(new LogSeen(true));
+        }
+
+        private boolean load(SnapshotLoaded loaded) {
+            if (loaded.image().nextOffset() < world.ledger().nextOffset()) {
+                return false;
+            }
+            world.load(loaded.image());
+            ReadBack.reconcile(world);
+            String detail = "nextOffset=" + loaded.image().nextOffset();
+            world.note(EventKind.SNAPSHOT_LOADED, world.self(), detail);
+            return true;
+        }
+
+        private boolean acknowledge(AppendDone done) {
+            world.setAppended(done.lastSequence());
+            return true;
+        }
+
+        private boolean seeLog(LogSeen seen) {
+            if (world.isLogReachable() != seen.reachable()) {
+                EventKind kind = seen.reachable() ? EventKind.LOG_BACK : EventKind.LOG_AWAY;
+                world.note(kind, world.self(), "nextOffset=" + world.ledger().nextOffset());
+                world.holdings().keys().forEach(world.touched()::add);
+            }
+            world.setLogReachable(seen.reachable());
+            return true;
+        }
+
+        private boolean stop() {
+            world.setStopping();
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -0,0 +1,57 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+import java.util.OptionalLong;
+
+/** Is a message into a keeper's world. */
+public sealed interface KeeperInput {
+
+    /** A router asks for the worst case of a request, in tokens, to be set aside. */
+    record ReserveAsked(Incarnation router, RequestKey key, BudgetId budget, long tokens)
+            implements KeeperInput {}
+
+    /** A router is about to send a request to an endpoint. */
+    record AttemptNoted(Incarnation router, RequestKey key, AttemptId attempt, EndpointId endpoint)
+            implements KeeperInput {}
+
+    /** A router tells what a request used; the grant may be that of another keeper. */
+    record UsageGiven(Incarnation router, GrantKey grant, Usage usage) implements KeeperInput {}
+
+    /** A router gives back a reservation of which nothing was used. */
+    record ReservationReleased(Incarnation router, RequestKey key) implements KeeperInput {}
+
+    /** A router asks to claim the single run of a request. */
+    record IntentAsked(Incarnation router, RequestKey key, BudgetId budget)
+            implements KeeperInput {}
+
+    /** A router tells the outcome of a request that it had claimed. */
+    record IntentEnded(RequestKey key, Incarnation router, RunState state, int status, String body)
+            implements KeeperInput {}
+
+    /** The link to a router broke. */
+    record RouterLost(Incarnation router) implements KeeperInput {}
+
+    /** An endpoint answered what an attempt used; empty if it could not be asked. */
+    record EndpointReported(RequestKey key, OptionalLong tokens) implements KeeperInput {}
+
+    /** Records were read from the log. */
+    record EntriesRead(List<LogEntry> entries) implements KeeperInput {
+
+        /** Copies the list. */
+        public EntriesRead {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /** A snapshot takes the place of what was read so far. */
+    record SnapshotLoaded(LedgerImage image) implements KeeperInput {}
+
+    /** A batch was appended; one whose answer is lost is sent again. */
+    record AppendDone(long lastSequence) implements KeeperInput {}
+
+    /** The log stopped or resumed answering reads. */
+    record LogSeen(boolean reachable) implements KeeperInput {}
+
+    /** A planned stop begins. */
+    record StopAsked() implements KeeperInput {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -0,0 +1,27 @@
+package org.bramleylatch.core;
+
+/**
+ * Bounds what a keeper does.
+ *
+ * @param reserveWaitMillis how long a request may wait for tokens
+ * @param intentWaitMillis how long a request may wait for its claim to be read back
+ * @param appendIntervalMillis the least time between two appends
+ * @param appendRetryMillis how long to wait after an append whose answer is unknown
+ * @param orphanRetryMillis how long to wait before an endpoint is asked again
+ * @param reviewMillis how often every holding is looked at
+ * @param mostRecords the most records in one append
+ */
+public record KeeperLimits(
+        long reserveWaitMillis,
+        long intentWaitMillis,
+        long appendIntervalMillis,
+        long appendRetryMillis,
+        long orphanRetryMillis,
+        long reviewMillis,
+        int mostRecords) {
+
+    /** Returns the limits for the sizes of today. */
+    public static KeeperLimits standard() {
+        return new KeeperLimits(1_500, 2_000, 50, 250, 1_000, 5_000, 500);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
@@ -0,0 +1,50 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+
+/** Is a message out of a keeper's world. */
+public sealed interface KeeperOutput {
+
+    /** Tells a router that tokens are set aside for a request. */
+    record ReserveGranted(Incarnation router, RequestKey key, GrantKey grant)
+            implements KeeperOutput {}
+
+    /** Tells a router that a request must be refused. */
+    record ReserveRefused(Incarnation router, RequestKey key, ResultCode code)
+            implements KeeperOutput {}
+
+    /** Tells a router that its usage is held here and will be appended. */
+    record UsageHeld(Incarnation router, RequestKey key) implements KeeperOutput {}
+
+    /** Tells a router that its usage was read back from the log. */
+    record UsageDurable(Incarnation router, RequestKey key) implements KeeperOutput {}
+
+    /** Tells a router that it may run the request, and it alone. */
+    record IntentWon(Incarnation router, RequestKey key) implements KeeperOutput {}
+
+    /** Tells a router that another run was claimed before, with what is known of it. */
+    record IntentLost(Incarnation router, IntentRow winner) implements KeeperOutput {}
+
+    /** Tells a router that no claim was made; the request must not run. */
+    record IntentRefused(Incarnation router, RequestKey key, ResultCode code)
+            implements KeeperOutput {}
+
+    /** Appends the records to the log, in order, in one call. */
+    record AppendBatch(List<Numbered> records) implements KeeperOutput {
+
+        /** Copies the list. */
+        public AppendBatch {
+            records = List.copyOf(records);
+        }
+    }
+
+    /** Asks an endpoint what an attempt of a lost router used, and cancels it. */
+    record AskEndpoint(RequestKey key, AttemptId attempt, EndpointId endpoint)
+            implements KeeperOutput {}
+
+    /** Writes a line of the time line. */
+    record Note(Event event) implements KeeperOutput {}
+
+    /** Tells that all usage is settled and all grants are returned. */
+    record Stopped() implements KeeperOutput {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/KeeperStopSystem.java
@@ -0,0 +1,34 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+
+/** Returns all grants once a planned stop has begun and nothing is reserved any more. */
+final class KeeperStopSystem implements TickSystem<KeeperWorld> {
+    private boolean told;
+
+    @Override
+    public void run(KeeperWorld world, long nowMillis) {
+        if (!world.isStopping() || told) {
+            return;
+        }
+        List<HoldingRow> idle =
+                world.holdings().where(row -> row.returningTokens() == 0 && !row.askInFlight());
+        idle.stream()
+                .map(HoldingRow::budget)
+                .filter(budget -> world.availableTokens(budget) > 0)
+                .sorted()
+                .forEach(b -> GrantSystem.giveBack(world, b, world.availableTokens(b)));
+        if (isSettled(world)) {
+            told = true;
+            world.outbox().add(new KeeperOutput.Stopped());
+        }
+    }
+
+    private static boolean isSettled(KeeperWorld world) {
+        return world.waiting().size() == 0
+                && world.reservations().size() == 0
+                && world.pendingUsages().size() == 0
+                && !world.hasUnsettledRecords()
+                && world.holdings().rows().noneMatch(row -> row.boundTokens() > 0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimer.java
@@ -0,0 +1,20 @@
+package org.bramleylatch.core;
+
+/** Names what a keeper's deadline is for. */
+sealed interface KeeperTimer {
+
+    /** A request has waited long enough for tokens. */
+    record ReserveWait(RequestKey key) implements KeeperTimer {}
+
+    /** A request has waited long enough for its claim. */
+    record IntentWait(RequestKey key) implements KeeperTimer {}
+
+    /** An endpoint is due to be asked again. */
+    record OrphanRetry(RequestKey key) implements KeeperTimer {}
+
+    /** The next append may be sent. */
+    record AppendDue() implements KeeperTimer {}
+
+    /** The holdings are due to be looked at. */
+    record Review() implements KeeperTimer {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -0,0 +1,180 @@
+package org.bramleylatch.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.Set;
+
+/**
+ * Holds the tables of one keeper: the ledger it folds, what it does with its own grants, and what
+ * is on its way to the log.
+ */
+public final class KeeperWorld implements World<KeeperInput, KeeperOutput> {
+    private final Mailbox<KeeperInput> inbox = Mailbox.empty();
+    private final Mailbox<KeeperOutput> outbox = Mailbox.empty();
+    private final Table<RequestKey, ReservationRow> waiting = Table.empty();
+    private final Table<RequestKey, ReservationRow> reservations = Table.empty();
+    private final Table<BudgetId, HoldingRow> holdings = Table.empty();
+    private final Table<RequestKey, PendingUsageRow> pendingUsages = Table.empty();
+    private final Table<RequestKey, IntentAskRow> intentAsks = Table.empty();
+    private final Deadlines<KeeperTimer> timers = Deadlines.empty();
+    private final Set<BudgetId> touched = new HashSet<>();
+    private final Queue<LedgerRecord> toAppend = new ArrayDeque<>();
+    private final List<Numbered> inFlight = new ArrayList<>();
+    private final Incarnation self;
+    private Ledger ledger = Ledger.empty();
+    private LedgerFold fold = LedgerFold.of(ledger);
+    private long lastSequence;
+    private long appendedSequence;
+    private boolean logReachable;
+    private boolean stopping;
+
+    private KeeperWorld(Incarnation self) {
+        this.self = self;
+    }
+
+    /** Returns a keeper's world that has read nothing. */
+    public static KeeperWorld of(Incarnation self) {
+        return new KeeperWorld(self);
+    }
+
+    @Override
+    public Mailbox<KeeperInput> inbox() {
+        return inbox;
+    }
+
+    @Override
+    public Mailbox<KeeperOutput> outbox() {
+        return outbox;
+    }
+
+    @Override
+    public OptionalLong nextDeadlineMillis() {
+        return timers.earliestMillis();
+    }
+
+    /** Returns this keeper's incarnation, the holder of its grants. */
+    public Incarnation self() {
+        return self;
+    }
+
+    /** Returns the ledger as far as it was read. */
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    /** Returns the requests that wait for tokens. */
+    public Table<RequestKey, ReservationRow> waiting() {
+        return waiting;
+    }
+
+    /** Returns the requests that tokens are set aside for. */
+    public Table<RequestKey, ReservationRow> reservations() {
+        return reservations;
+    }
+
+    /** Returns the holdings by budget. */
+    public Table<BudgetId, HoldingRow> holdings() {
+        return holdings;
+    }
+
+    /** Returns the usage that was not read back yet, by request. */
+    public Table<RequestKey, PendingUsageRow> pendingUsages() {
+        return pendingUsages;
+    }
+
+    /** Returns true while reads of the log are answered. */
+    public boolean isLogReachable() {
+        return logReachable;
+    }
+
+    /** Returns true once a planned stop has begun. */
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** Returns true if a record waits to be appended or read back. */
+    public boolean hasUnsettledRecords() {
+        return !toAppend.isEmpty() || !inFlight.isEmpty();
+    }
+
+    /** Returns the tokens of the own grant that nothing is bound to. */
+    public long availableTokens(BudgetId budget) {
+        long open = ledger.grant(budget, self).map(GrantRow::openTokens).orElse(0L);
+        return open - holdings.find(budget).map(HoldingRow::boundTokens).orElse(0L);
+    }
+
+    Table<RequestKey, IntentAskRow> intentAsks() {
+        return intentAsks;
+    }
+
+    Deadlines<KeeperTimer> timers() {
+        return timers;
+    }
+
+    Set<BudgetId> touched() {
+        return touched;
+    }
+
+    Queue<LedgerRecord> toAppend() {
+        return toAppend;
+    }
+
+    List<Numbered> inFlight() {
+        return inFlight;
+    }
+
+    LedgerFold fold() {
+        return fold;
+    }
+
+    boolean isInFlightAppended() {
+        return !inFlight.isEmpty()
+                && appendedSequence >= inFlight.get(inFlight.size() - 1).sequence();
+    }
+
+    void load(LedgerImage image) {
+        ledger = Ledger.of(image);
+        fold = LedgerFold.of(ledger);
+    }
+
+    void setLogReachable(boolean reachable) {
+        logReachable = reachable;
+    }
+
+    void setAppended(long sequence) {
+        appendedSequence = Math.max(appendedSequence, sequence);
+    }
+
+    void setStopping() {
+        stopping = true;
+    }
+
+    HoldingRow holding(BudgetId budget, long nowMillis) {
+        return holdings.findOrAdd(budget, () -> HoldingRow.of(budget, nowMillis));
+    }
+
+    void append(LedgerRecord record) {
+        toAppend.add(record);
+    }
+
+    List<LedgerRecord> takeToAppend(int most) {
+        List<LedgerRecord> taken = new ArrayList<>();
+        while (taken.size() < most && !toAppend.isEmpty()) {
+            taken.add(toAppend.remove());
+        }
+        return taken;
+    }
+
+    Numbered number(LedgerRecord record) {
+        lastSequence++;
+        return new Numbered(lastSequence, record);
+    }
+
+    void note(EventKind kind, Object subject, String detail) {
+        outbox.add(new KeeperOutput.Note(Event.of(kind, subject, detail)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Ledger.java
@@ -0,0 +1,173 @@
+package org.bramleylatch.core;
+
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Holds the tables that the fold over one account stream builds. Two readers of the same records
+ * hold equal tables.
+ */
+public final class Ledger {
+    private final Table<BudgetId, BudgetRow> budgets = Table.empty();
+    private final Table<GrantKey, GrantRow> grants = Table.empty();
+    private final Table<BudgetId, List<Incarnation>> holders = Table.empty();
+    private final Table<RequestKey, IntentRow> intents = Table.empty();
+    private final Table<Incarnation, WriterRow> writers = Table.empty();
+    private final KeyWindow settledKeys = KeyWindow.empty();
+    private long nextOffset;
+    private long logMillis;
+
+    private Ledger() {}
+
+    /** Returns a ledger that has read nothing. */
+    public static Ledger empty() {
+        return new Ledger();
+    }
+
+    /** Returns a ledger that continues behind the given image. */
+    public static Ledger of(LedgerImage image) {
+        Ledger ledger = new Ledger();
+        ledger.nextOffset = image.nextOffset();
+        ledger.logMillis = image.logMillis();
+        image.rows().forEach(ledger::load);
+        return ledger;
+    }
+
+    /** Returns the budgets by id. */
+    public Table<BudgetId, BudgetRow> budgets() {
+        return budgets;
+    }
+
+    /** Returns the grants by budget and holder. */
+    public Table<GrantKey, GrantRow> grants() {
+        return grants;
+    }
+
+    /** Returns the intents by request key. */
+    public Table<RequestKey, IntentRow> intents() {
+        return intents;
+    }
+
+    /** Returns the writers by incarnation. */
+    public Table<Incarnation, WriterRow> writers() {
+        return writers;
+    }
+
+    /** Returns the keys whose usage was settled within the window. */
+    public KeyWindow settledKeys() {
+        return settledKeys;
+    }
+
+    /** Returns the offset of the next record to fold. */
+    public long nextOffset() {
+        return nextOffset;
+    }
+
+    /** Returns the latest time of a folded record, in milliseconds since the epoch. */
+    public long logMillis() {
+        return logMillis;
+    }
+
+    /** Returns the grant of the holder, if the ledger has one. */
+    public Optional<GrantRow> grant(BudgetId budget, Incarnation holder) {
+        return grants.find(GrantKey.of(budget, holder));
+    }
+
+    /** Returns the grants of one budget, in the order in which holders first asked. */
+    public List<GrantRow> grantsOf(BudgetId budget) {
+        return holders.find(budget).orElse(List.of()).stream()
+                .flatMap(holder -> grant(budget, holder).stream())
+                .toList();
+    }
+
+    /** Returns what operators are shown of a budget, if it exists. */
+    public Optional<BudgetStatement> statement(BudgetId budget) {
+        return budgets.find(budget).map(row -> BudgetStatement.of(row, grantsOf(budget)));
+    }
+
+    /** Returns a digest of the tables that does not depend on the order of the rows. */
+    public long digest() {
+        return image().digest();
+    }
+
+    /** Returns a copy of all rows, from which another process can continue. */
+    public LedgerImage image() {
+        List<LedgerImage.Row> rows = new ArrayList<>();
+        budgets.rows().map(LedgerImage.BudgetPart::new).forEach(rows::add);
+        holders.keys()
+                .flatMap(budget -> grantsOf(budget).stream())
+                .map(LedgerImage.GrantPart::new)
+                .forEach(rows::add);
+        intents.rows().map(LedgerImage.IntentPart::new).forEach(rows::add);
+        writers.rows().map(LedgerImage.WriterPart::new).forEach(rows::add);
+        settledKeys.keys().map(LedgerImage.KeyPart::new).forEach(rows::add);
+        return new LedgerImage(nextOffset, logMillis, rows);
+    }
+
+    void advance(LogEntry entry) {
+        nextOffset = entry.offset() + 1;
+        logMillis = Math.max(logMillis, entry.timeMillis());
+    }
+
+    void putGrant(GrantRow grant) {
+        BudgetId budget = grant.key().budget();
+        if (!grants.has(grant.key())) {
+            holders.findOrAdd(budget, ArrayList::new).add(grant.key().holder());
+        }
+        grants.put(grant.key(), grant);
+    }
+
+    void removeGrant(GrantKey key) {
+        grants.remove(key);
+        holders.find(key.budget()).ifPresent(list -> list.remove(key.holder()));
+        if (holders.find(key.budget()).filter(List::isEmpty).isPresent()) {
+            holders.remove(key.budget());
+        }
+    }
+
+    private void load(LedgerImage.Row row) {
+        loader.apply(row);
+    }
+
+    private final Dispatch<LedgerImage.Row, Boolean> loader =
+            Dispatch.<LedgerImage.Row, Boolean>empty()
+                    .on(LedgerImage.BudgetPart.class, part -> loadBudget(part.budget()))
+                    .on(LedgerImage.GrantPart.class, part -> loadGrant(part.grant()))
+                    .on(LedgerImage.IntentPart.class, part -> loadIntent(part.intent()))
+                    .on(LedgerImage.WriterPart.class, part -> loadWriter(part.writer()))
+                    .on(LedgerImage.KeyPart.class, part -> settledKeys.add(part.key()));
+
+    private boolean loadBudget(BudgetRow row) {
+        budgets.put(row.id(), row);
+        return true;
+    }
+
+    private boolean loadGrant(GrantRow row) {
+        putGrant(row);
+        return true;
+    }
+
+    private boolean loadIntent(IntentRow row) {
+        intents.put(row.key(), row);
+        return true;
+    }
+
+    private boolean loadWriter(WriterRow row) {
+        writers.put(row.writer(), row);
+        return true;
+    }
+
+    static HashCode hash(Object row) {
+        return Hashing.murmur3_128().hashString(row.toString(), StandardCharsets.UTF_8);
+    }
+
+    static long digestOf(Stream<?> rows) {
+        List<HashCode> hashes = rows.map(Ledger::hash).toList();
+        return hashes.isEmpty() ? 0 : Hashing.combineUnordered(hashes).asLong();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -0,0 +1,238 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+import java.util.Optional;
+import org.bramleylatch.core.LedgerRecord.BudgetCreated;
+import org.bramleylatch.core.LedgerRecord.BudgetToppedUp;
+import org.bramleylatch.core.LedgerRecord.FrozenReleased;
+import org.bramleylatch.core.LedgerRecord.GrantAsked;
+import org.bramleylatch.core.LedgerRecord.GrantReturned;
+import org.bramleylatch.core.LedgerRecord.HolderFrozen;
+import org.bramleylatch.core.LedgerRecord.IntentDeclared;
+import org.bramleylatch.core.LedgerRecord.IntentFinished;
+import org.bramleylatch.core.LedgerRecord.SnapshotPart;
+import org.bramleylatch.core.LedgerRecord.UsageReported;
+
+/**
+ * Folds records into a ledger. The verdict on a record depends on nothing but the records before
+ * it, so that every reader comes to the same one.
+ */
+public final class LedgerFold {
+    private static final Optional<ResultCode> ACCEPTED = Optional.empty();
+    private static final int EXPIRE_EVERY_RECORDS = 256;
+
+    private final Ledger ledger;
+    private final Dispatch<LedgerRecord, Optional<ResultCode>> rules;
+    private long offset;
+
+    private LedgerFold(Ledger ledger) {
+        this.ledger = ledger;
+        this.rules =
+                Dispatch.<LedgerRecord, Optional<ResultCode>>empty()
+                        .on(BudgetCreated.class, this::create)
+                        .on(BudgetToppedUp.class, this::topUp)
+                        .on(GrantAsked.class, this::grant)
+                        .on(UsageReported.class, this::settle)
+                        .on(GrantReturned.class, this::giveBack)
+                        .on(HolderFrozen.class, this::freeze)
+                        .on(FrozenReleased.class, this::release)
+                        .on(IntentDeclared.class, this::declare)
+                        .on(IntentFinished.class, this::finish)
+                        .on(SnapshotPart.class, part -> ACCEPTED);
+    }
+
+    /** Returns a fold into the given ledger. */
+    public static LedgerFold of(Ledger ledger) {
+        return new LedgerFold(ledger);
+    }
+
+    /**
+     * Folds the next entry.
+     *
+     * @param entry the entry at the ledger's next offset; earlier ones are passed over
+     * @return why the record was refused, or empty if it was accepted
+     */
+    public Optional<ResultCode> apply(LogEntry entry) {
+        if (entry.offset() < ledger.nextOffset()) {
+            return Optional.of(ResultCode.RECORD_REPEATED);
+        }
+        ledger.advance(entry);
+        offset = entry.offset();
+        expireNowAndThen();
+        return isRepeated(entry)
+                ? Optional.of(ResultCode.RECORD_REPEATED)
+                : rules.apply(entry.record());
+    }
+
+    private boolean isRepeated(LogEntry entry) {
+        Optional<WriterRow> before = ledger.writers().find(entry.writer());
+        if (before.filter(row -> row.sequence() >= entry.sequence()).isPresent()) {
+            return true;
+        }
+        ledger.writers()
+                .put(
+                        entry.writer(),
+                        new WriterRow(entry.writer(), entry.sequence(), ledger.logMillis()));
+        return false;
+    }
+
+    private void expireNowAndThen() {
+        if (offset % EXPIRE_EVERY_RECORDS == 0) {
+            long oldestMillis = ledger.logMillis() - KeyWindow.SPAN_MILLIS;
+            ledger.settledKeys().expire(ledger.logMillis());
+            ledger.intents().removeIf(row -> KeyWindow.isExpired(row.key(), ledger.logMillis()));
+            ledger.writers().removeIf(row -> row.lastMillis() < oldestMillis);
+        }
+    }
+
+    private Optional<ResultCode> create(BudgetCreated record) {
+        if (ledger.budgets().has(record.budget())) {
+            return Optional.of(ResultCode.BUDGET_EXISTS);
+        }
+        ledger.budgets().put(record.budget(), BudgetRow.of(record.budget()));
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> topUp(BudgetToppedUp record) {
+        if (!ledger.budgets().has(record.budget())) {
+            return Optional.of(ResultCode.UNKNOWN_BUDGET);
+        }
+        if (record.tokens() <= 0) {
+            return Optional.of(ResultCode.FIELD_INVALID);
+        }
+        if (KeyWindow.isExpired(record.key(), ledger.logMillis())) {
+            return Optional.of(ResultCode.IDEMPOTENCY_KEY_EXPIRED);
+        }
+        if (!ledger.settledKeys().add(record.key())) {
+            return Optional.of(ResultCode.TOP_UP_REPEATED);
+        }
+        ledger.budgets().update(record.budget(), row -> row.paid(record.tokens()));
+        serveWishes(record.budget());
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> grant(GrantAsked record) {
+        Optional<BudgetRow> budget = ledger.budgets().find(record.budget());
+        if (budget.isEmpty()) {
+            return Optional.of(ResultCode.UNKNOWN_BUDGET);
+        }
+        long granted = Math.max(0, Math.min(budget.get().freeTokens(), record.tokens()));
+        long missing = Math.max(0, record.neededTokens() - granted);
+        GrantKey key = GrantKey.of(record.budget(), record.holder());
+        GrantRow before = ledger.grants().find(key).orElseGet(() -> GrantRow.of(key));
+        ledger.putGrant(before.asked(granted, missing, record.demandTokensPerHour()));
+        ledger.budgets().put(record.budget(), budget.get().opened(granted));
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> settle(UsageReported record) {
+        GrantKey key = GrantKey.of(record.budget(), record.holder());
+        if (!ledger.grants().has(key)) {
+            return Optional.of(ResultCode.GRANT_UNKNOWN);
+        }
+        return record.usages().stream()
+                .map(usage -> settle(key, usage))
+                .flatMap(Optional::stream)
+                .reduce((first, last) -> last);
+    }
+
+    private Optional<ResultCode> settle(GrantKey key, Usage usage) {
+        if (KeyWindow.isExpired(usage.key(), ledger.logMillis())) {
+            return Optional.of(ResultCode.IDEMPOTENCY_KEY_EXPIRED);
+        }
+        if (ledger.settledKeys().has(usage.key())) {
+            return Optional.of(ResultCode.USAGE_ALREADY_SETTLED);
+        }
+        if (ledger.grants().find(key).filter(g -> g.openTokens() >= usage.tokens()).isEmpty()) {
+            return Optional.of(ResultCode.USAGE_OVER_GRANT);
+        }
+        ledger.settledKeys().add(usage.key());
+        ledger.grants().update(key, grant -> grant.less(usage.tokens()));
+        ledger.budgets().update(key.budget(), row -> row.settled(usage.tokens()));
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> giveBack(GrantReturned record) {
+        GrantKey key = GrantKey.of(record.budget(), record.holder());
+        Optional<GrantRow> grant =
+                ledger.grants().find(key).filter(row -> row.openTokens() >= record.tokens());
+        if (grant.isEmpty() || record.tokens() < 0) {
+            return Optional.of(ResultCode.GRANT_UNKNOWN);
+        }
+        close(grant.get(), record.tokens());
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> freeze(HolderFrozen record) {
+        List<GrantKey> held =
+                ledger.grants().keys().filter(k -> k.holder().equals(record.holder())).toList();
+        held.forEach(key -> ledger.grants().update(key, GrantRow::freeze));
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> release(FrozenReleased record) {
+        Optional<GrantRow> grant =
+                ledger.grant(record.budget(), record.holder()).filter(GrantRow::frozen);
+        if (grant.isEmpty()) {
+            return Optional.of(ResultCode.GRANT_NOT_FROZEN);
+        }
+        close(grant.get(), grant.get().openTokens());
+        return ACCEPTED;
+    }
+
+    private void close(GrantRow grant, long tokens) {
+        GrantRow after = grant.less(tokens);
+        if (after.openTokens() == 0 && after.wantedTokens() == 0) {
+            ledger.removeGrant(grant.key());
+        } else {
+            ledger.grants().put(grant.key(), after);
+        }
+        ledger.budgets().update(grant.key().budget(), row -> row.opened(-tokens));
+        serveWishes(grant.key().budget());
+    }
+
+    private void serveWishes(BudgetId budget) {
+        ledger.grantsOf(budget).stream()
+                .filter(grant -> grant.wantedTokens() > 0)
+                .forEach(this::serveWish);
+    }
+
+    private void serveWish(GrantRow grant) {
+        BudgetId budget = grant.key().budget();
+        long free = ledger.budgets().find(budget).map(BudgetRow::freeTokens).orElse(0L);
+        long granted = Math.min(free, grant.wantedTokens());
+        long missing = grant.wantedTokens() - granted;
+        ledger.grants()
+                .put(grant.key(), grant.asked(granted, missing, grant.demandTokensPerHour()));
+        ledger.budgets().update(budget, row -> row.opened(granted));
+    }
+
+    private Optional<ResultCode> declare(IntentDeclared record) {
+        if (KeyWindow.isExpired(record.key(), ledger.logMillis())) {
+            return Optional.of(ResultCode.IDEMPOTENCY_KEY_EXPIRED);
+        }
+        boolean claimed =
+                ledger.intents().find(record.key()).filter(row -> !row.abandoned()).isPresent();
+        if (claimed) {
+            return Optional.of(ResultCode.INTENT_IN_PROGRESS);
+        }
+        ledger.intents().put(record.key(), IntentRow.of(record.key(), record.router(), offset));
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> finish(IntentFinished record) {
+        Optional<IntentRow> open =
+                ledger.intents()
+                        .find(record.key())
+                        .filter(row -> !row.finished())
+                        .filter(row -> row.router().equals(record.router()));
+        if (open.isEmpty()) {
+            return Optional.of(ResultCode.OUTCOME_UNKNOWN);
+        }
+        ledger.intents()
+                .put(
+                        record.key(),
+                        open.get().finish(record.state(), record.status(), record.body()));
+        return ACCEPTED;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -0,0 +1,81 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+
+/** Is one proposal in an account stream of the log. The fold accepts or refuses it. */
+public sealed interface LedgerRecord {
+
+    /** Creates a budget for a workspace. */
+    record BudgetCreated(BudgetId budget, String workspace) implements LedgerRecord {}
+
+    /** Adds paid tokens to a budget. The key makes a repeated top-up count once. */
+    record BudgetToppedUp(BudgetId budget, RequestKey key, long tokens) implements LedgerRecord {}
+
+    /**
+     * Asks for tokens from the free part of a budget. What is free, up to the amount, is granted;
+     * what is needed at once and was not free is noted as wanted.
+     *
+     * @param tokens how much the holder would like in all
+     * @param neededTokens how much of that requests wait for
+     * @param demandTokensPerHour the holder's forecast, by which shares are weighed
+     */
+    record GrantAsked(
+            BudgetId budget,
+            Incarnation holder,
+            long tokens,
+            long neededTokens,
+            long demandTokensPerHour)
+            implements LedgerRecord {}
+
+    /** Settles the usage of requests against a grant. */
+    record UsageReported(BudgetId budget, Incarnation holder, List<Usage> usages)
+            implements LedgerRecord {
+
+        /** Copies the list. */
+        public UsageReported {
+            usages = List.copyOf(usages);
+        }
+    }
+
+    /** Returns tokens of the writer's own grant to the free part. */
+    record GrantReturned(BudgetId budget, Incarnation holder, long tokens)
+            implements LedgerRecord {}
+
+    /** Marks the grants of a holder as frozen. Evidence that it is away, not proof. */
+    record HolderFrozen(Incarnation holder) implements LedgerRecord {}
+
+    /** Returns a frozen grant to the free part, on an operator's word that its VM is gone. */
+    record FrozenReleased(BudgetId budget, Incarnation holder, String operator)
+            implements LedgerRecord {}
+
+    /** Claims the single run of a request that may not be repeated. */
+    record IntentDeclared(RequestKey key, Incarnation router, BudgetId budget)
+            implements LedgerRecord {}
+
+    /** Ends the intent of a router with the service's answer, or as not run. */
+    record IntentFinished(
+            RequestKey key, Incarnation router, RunState state, int status, String body)
+            implements LedgerRecord {}
+
+    /**
+     * Carries a part of a snapshot of all that lies before an offset.
+     *
+     * @param index the number of the part, from 0
+     * @param count the number of parts
+     * @param digest the digest over the rows of all parts
+     */
+    record SnapshotPart(
+            long nextOffset,
+            long logMillis,
+            int index,
+            int count,
+            long digest,
+            List<LedgerImage.Row> rows)
+            implements LedgerRecord {
+
+        /** Copies the list. */
+        public SnapshotPart {
+            rows = List.copyOf(rows);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/ReadBack.java
@@ -0,0 +1,132 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+import java.util.Optional;
+import org.bramleylatch.core.LedgerRecord.GrantAsked;
+import org.bramleylatch.core.LedgerRecord.GrantReturned;
+import org.bramleylatch.core.LedgerRecord.IntentDeclared;
+import org.bramleylatch.core.LedgerRecord.UsageReported;
+
+/** Folds entries and lets the keeper's own records take effect once they are read back. */
+final class ReadBack {
+
+    private ReadBack() {}
+
+    /** Folds one entry. */
+    static void apply(KeeperWorld world, LogEntry entry) {
+        Optional<ResultCode> refusal = world.fold().apply(entry);
+        boolean repeated = refusal.filter(ResultCode.RECORD_REPEATED::equals).isPresent();
+        if (!repeated) {
+            touch(world, entry.record());
+            settleUsage(world, entry.record());
+            if (entry.writer().equals(world.self())) {
+                takeOwn(world, entry);
+            }
+        }
+    }
+
+    /** Brings the tables in line with a ledger that was loaded in place of reading records. */
+    static void reconcile(KeeperWorld world) {
+        long taken =
+                world.ledger().writers().find(world.self()).map(WriterRow::sequence).orElse(0L);
+        List<Numbered> done = world.inFlight().stream().filter(n -> n.sequence() <= taken).toList();
+        done.forEach(numbered -> takeOwn(world, numbered));
+        world.pendingUsages()
+                .where(row -> world.ledger().settledKeys().has(row.usage().key()))
+                .forEach(row -> durable(world, row));
+    }
+
+    private static void takeOwn(KeeperWorld world, LogEntry entry) {
+        takeOwn(world, new Numbered(entry.sequence(), entry.record()));
+    }
+
+    private static void takeOwn(KeeperWorld world, Numbered numbered) {
+        world.inFlight().removeIf(mine -> mine.sequence() == numbered.sequence());
+        LedgerRecord record = numbered.record();
+        if (record instanceof GrantAsked asked) {
+            world.holdings().update(asked.budget(), row -> row.asking(false));
+        } else if (record instanceof GrantReturned returned) {
+            world.holdings().update(returned.budget(), row -> row.returning(-returned.tokens()));
+        } else if (record instanceof IntentDeclared declared) {
+            answerClaim(world, declared);
+        } else if (record instanceof UsageReported reported) {
+            reported.usages().forEach(usage -> dropRefused(world, usage));
+        }
+    }
+
+    private static void touch(KeeperWorld world, LedgerRecord record) {
+        if (record instanceof GrantAsked asked) {
+            world.touched().add(asked.budget());
+        } else if (record instanceof GrantReturned returned) {
+            world.touched().add(returned.budget());
+        } else if (record instanceof LedgerRecord.BudgetToppedUp toppedUp) {
+            world.touched().add(toppedUp.budget());
+        } else if (record instanceof LedgerRecord.FrozenReleased released) {
+            world.touched().add(released.budget());
+        }
+    }
+
+    private static void settleUsage(KeeperWorld world, LedgerRecord record) {
+        if (record instanceof UsageReported reported) {
+            world.touched().add(reported.budget());
+            reported.usages().stream()
+                    .filter(usage -> world.ledger().settledKeys().has(usage.key()))
+                    .flatMap(usage -> world.pendingUsages().find(usage.key()).stream())
+                    .forEach(row -> durable(world, row));
+        }
+    }
+
+    private static void dropRefused(KeeperWorld world, Usage usage) {
+        world.pendingUsages().find(usage.key()).ifPresent(row -> durable(world, row));
+    }
+
+    private static void durable(KeeperWorld world, PendingUsageRow row) {
+        RequestKey key = row.usage().key();
+        world.pendingUsages().remove(key);
+        if (row.grant().holder().equals(world.self())) {
+            world.holdings()
+                    .update(
+                            row.grant().budget(),
+                            holding -> holding.pending(-row.usage().tokens()));
+        }
+        row.router()
+                .ifPresent(
+                        router -> world.outbox().add(new KeeperOutput.UsageDurable(router, key)));
+        world.note(EventKind.USAGE_SETTLED, key, "tokens=" + row.usage().tokens());
+    }
+
+    private static void answerClaim(KeeperWorld world, IntentDeclared declared) {
+        world.timers().clear(new KeeperTimer.IntentWait(declared.key()));
+        Optional<IntentAskRow> ask = world.intentAsks().remove(declared.key());
+        Optional<IntentRow> winner = world.ledger().intents().find(declared.key());
+        boolean won = winner.filter(row -> isOf(row, declared, world)).isPresent();
+        if (won && ask.filter(row -> !row.givenUp()).isEmpty()) {
+            world.append(
+                    new LedgerRecord.IntentFinished(
+                            declared.key(), declared.router(), RunState.NOT_RUN, 0, ""));
+            return;
+        }
+        ask.ifPresent(row -> tell(world, row, winner, won));
+    }
+
+    private static boolean isOf(IntentRow row, IntentDeclared declared, KeeperWorld world) {
+        return row.offset() == world.ledger().nextOffset() - 1
+                && row.router().equals(declared.router());
+    }
+
+    private static void tell(
+            KeeperWorld world, IntentAskRow ask, Optional<IntentRow> winner, boolean won) {
+        if (won) {
+            world.outbox().add(new KeeperOutput.IntentWon(ask.router(), ask.key()));
+            world.note(EventKind.INTENT_WON, ask.key(), "router=" + ask.router());
+        } else if (winner.isPresent()) {
+            world.outbox().add(new KeeperOutput.IntentLost(ask.router(), winner.get()));
+            world.note(EventKind.INTENT_LOST, ask.key(), "router=" + ask.router());
+        } else {
+            world.outbox()
+                    .add(
+                            new KeeperOutput.IntentRefused(
+                                    ask.router(), ask.key(), ResultCode.IDEMPOTENCY_KEY_EXPIRED));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Reservations.java
@@ -0,0 +1,75 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Changes reservations together with the holdings that they are set aside from. */
+final class Reservations {
+
+    private Reservations() {}
+
+    /** Removes the reservation and frees its tokens; returns false if there is none. */
+    static boolean drop(KeeperWorld world, RequestKey key) {
+        Optional<ReservationRow> waiting = world.waiting().remove(key);
+        Optional<ReservationRow> held = world.reservations().remove(key);
+        held.ifPresent(
+                row -> world.holdings().update(row.budget(), h -> h.reserved(-row.tokens())));
+        held.ifPresent(row -> world.touched().add(row.budget()));
+        world.timers().clear(new KeeperTimer.ReserveWait(key));
+        world.timers().clear(new KeeperTimer.OrphanRetry(key));
+        return waiting.isPresent() || held.isPresent();
+    }
+
+    /** Sets the tokens of a waiting request aside. */
+    static void hold(KeeperWorld world, ReservationRow row) {
+        world.waiting().remove(row.key());
+        world.reservations().put(row.key(), row);
+        world.holdings().update(row.budget(), holding -> holding.reserved(row.tokens()));
+        world.timers().clear(new KeeperTimer.ReserveWait(row.key()));
+    }
+
+    /**
+     * Ends the reservation of a lost router because its caller retries. The retry alone is billed;
+     * the lost attempt is cancelled at its endpoint.
+     */
+    static void adopt(KeeperWorld world, RequestKey key) {
+        world.reservations().find(key).ifPresent(row -> askEndpoint(world, row));
+        drop(world, key);
+    }
+
+    /** Turns the reservation, if it is here, into usage that waits to be appended. */
+    static void settle(
+            KeeperWorld world, GrantKey grant, Usage usage, Optional<Incarnation> router) {
+        drop(world, usage.key());
+        world.pendingUsages().put(usage.key(), new PendingUsageRow(grant, usage, router));
+        if (grant.holder().equals(world.self())) {
+            world.holdings().update(grant.budget(), row -> row.pending(usage.tokens()));
+        }
+        world.append(
+                new LedgerRecord.UsageReported(grant.budget(), grant.holder(), List.of(usage)));
+        String detail = "budget=" + grant.budget() + " tokens=" + usage.tokens();
+        world.note(EventKind.USAGE_HELD, usage.key(), detail);
+    }
+
+    /** Keeps the reservation of a lost router until its endpoint has told what was used. */
+    static void orphan(KeeperWorld world, ReservationRow row, long nowMillis) {
+        if (row.attempt().isEmpty()) {
+            drop(world, row.key());
+            return;
+        }
+        world.reservations().put(row.key(), row.orphan());
+        world.timers().set(new KeeperTimer.OrphanRetry(row.key()), nowMillis);
+        String detail = "budget=" + row.budget() + " tokens=" + row.tokens();
+        world.note(EventKind.RESERVATION_ORPHANED, row.key(), detail);
+    }
+
+    /** Asks the endpoint of the noted attempt what was used, if there is one. */
+    static void askEndpoint(KeeperWorld world, ReservationRow row) {
+        if (row.attempt().isPresent() && row.endpoint().isPresent()) {
+            world.outbox()
+                    .add(
+                            new KeeperOutput.AskEndpoint(
+                                    row.key(), row.attempt().get(), row.endpoint().get()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/RouterInbox.java
@@ -0,0 +1,59 @@
+package org.bramleylatch.core;
+
+import org.bramleylatch.core.RouterInput.AnswerEnded;
+import org.bramleylatch.core.RouterInput.AttemptFailed;
+import org.bramleylatch.core.RouterInput.CallerGone;
+import org.bramleylatch.core.RouterInput.CallerPaused;
+import org.bramleylatch.core.RouterInput.ConfigurationSeen;
+import org.bramleylatch.core.RouterInput.EndpointReported;
+import org.bramleylatch.core.RouterInput.EndpointsListed;
+import org.bramleylatch.core.RouterInput.IntentLost;
+import org.bramleylatch.core.RouterInput.IntentRefused;
+import org.bramleylatch.core.RouterInput.IntentWon;
+import org.bramleylatch.core.RouterInput.KeeperDown;
+import org.bramleylatch.core.RouterInput.KeeperUp;
+import org.bramleylatch.core.RouterInput.RequestArrived;
+import org.bramleylatch.core.RouterInput.ReserveGranted;
+import org.bramleylatch.core.RouterInput.ReserveRefused;
+import org.bramleylatch.core.RouterInput.ServiceAnswered;
+import org.bramleylatch.core.RouterInput.StopAsked;
+import org.bramleylatch.core.RouterInput.TokensArrived;
+import org.bramleylatch.core.RouterInput.UsageDurable;
+import org.bramleylatch.core.RouterInput.UsageHeld;
+
+/** Puts what arrived into the router's tables. */
+record RouterInbox(RouterLimits limits) implements TickSystem<RouterWorld> {
+    private static final int MOST_MESSAGES = 4_000;
+
+    @Override
+    public void run(RouterWorld world, long nowMillis) {
+        if (world.inbox().isEmpty()) {
+            return;
+        }
+        Admission admission = new Admission(world, limits, nowMillis);
+        Streams streams = new Streams(world, limits, nowMillis);
+        Fleet fleet = new Fleet(world, nowMillis);
+        Dispatch<RouterInput, Boolean> table = Dispatch.empty();
+        table.on(RequestArrived.class, admission::admit)
+                .on(ReserveGranted.class, admission::reserved)
+                .on(ReserveRefused.class, admission::refused)
+                .on(IntentWon.class, admission::claimed)
+                .on(IntentLost.class, admission::lost)
+                .on(IntentRefused.class, admission::unclaimed);
+        table.on(TokensArrived.class, streams::deliver)
+                .on(AnswerEnded.class, streams::end)
+                .on(ServiceAnswered.class, streams::answer)
+                .on(AttemptFailed.class, streams::fail)
+                .on(CallerPaused.class, streams::pause)
+                .on(CallerGone.class, streams::abandon)
+                .on(UsageHeld.class, held -> Settlements.held(world, held.key()))
+                .on(UsageDurable.class, done -> Settlements.durable(world, done.key()));
+        table.on(ConfigurationSeen.class, fleet::configure)
+                .on(EndpointsListed.class, fleet::list)
+                .on(EndpointReported.class, fleet::report)
+                .on(KeeperUp.class, fleet::keeperUp)
+                .on(KeeperDown.class, fleet::keeperDown)
+                .on(StopAsked.class, message -> fleet.stop());
+        world.inbox().take(MOST_MESSAGES).forEach(table::apply);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -0,0 +1,77 @@
+package org.bramleylatch.core;
+
+import java.util.List;
+
+/** Is a message into a router's world. */
+public sealed interface RouterInput {
+
+    /** A newer configuration is in force. */
+    record ConfigurationSeen(Configuration configuration) implements RouterInput {}
+
+    /** The platform listed these endpoints. */
+    record EndpointsListed(List<EndpointRow> endpoints) implements RouterInput {
+
+        /** Copies the list. */
+        public EndpointsListed {
+            endpoints = List.copyOf(endpoints);
+        }
+    }
+
+    /** An endpoint told what it holds and whether it leaves. */
+    record EndpointReported(EndpointId endpoint, long heldTokens, boolean leaving)
+            implements RouterInput {}
+
+    /** A keeper can be reached. */
+    record KeeperUp(Incarnation keeper) implements RouterInput {}
+
+    /** The link to a keeper broke. */
+    record KeeperDown(Incarnation keeper) implements RouterInput {}
+
+    /** A caller sent a request. */
+    record RequestArrived(RequestSpec spec) implements RouterInput {}
+
+    /** A keeper set the worst case of a request aside. */
+    record ReserveGranted(Incarnation keeper, RequestKey key, GrantKey grant)
+            implements RouterInput {}
+
+    /** A keeper refused to. */
+    record ReserveRefused(Incarnation keeper, RequestKey key, ResultCode code)
+            implements RouterInput {}
+
+    /** This router alone may run the request. */
+    record IntentWon(RequestKey key) implements RouterInput {}
+
+    /** Another run was claimed before. */
+    record IntentLost(IntentRow winner) implements RouterInput {}
+
+    /** No claim was made. */
+    record IntentRefused(RequestKey key, ResultCode code) implements RouterInput {}
+
+    /** A keeper holds the usage of a request. */
+    record UsageHeld(RequestKey key) implements RouterInput {}
+
+    /** The usage of a request was read back from the log. */
+    record UsageDurable(RequestKey key) implements RouterInput {}
+
+    /** An endpoint sent tokens, of which the first has the given position. */
+    record TokensArrived(AttemptId attempt, long position, long tokens, String text)
+            implements RouterInput {}
+
+    /** An endpoint sent the end marker of an answer of the given length. */
+    record AnswerEnded(AttemptId attempt, long position, String reason) implements RouterInput {}
+
+    /** A service answered as a whole. */
+    record ServiceAnswered(AttemptId attempt, int status, String body) implements RouterInput {}
+
+    /** An attempt failed; the run state tells what the edge knows of it. */
+    record AttemptFailed(AttemptId attempt, RunState ran, String detail) implements RouterInput {}
+
+    /** The caller reads too slowly, or has caught up. */
+    record CallerPaused(RequestId request, boolean paused) implements RouterInput {}
+
+    /** The caller hung up. */
+    record CallerGone(RequestId request) implements RouterInput {}
+
+    /** A planned stop begins. */
+    record StopAsked() implements RouterInput {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -0,0 +1,17 @@
+package org.bramleylatch.core;
+
+/** Names what a router's deadline is for. */
+sealed interface RouterTimer {
+
+    /** The caller of a request stops waiting. */
+    record RequestDeadline(RequestId request) implements RouterTimer {}
+
+    /** A keeper has had long enough to answer. */
+    record ReserveWait(RequestId request) implements RouterTimer {}
+
+    /** An attempt is due to be checked for silence. */
+    record AttemptCheck(AttemptId attempt) implements RouterTimer {}
+
+    /** The end of an answer has waited long enough for a keeper. */
+    record HoldWait(RequestKey key) implements RouterTimer {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimers.java
@@ -0,0 +1,65 @@
+package org.bramleylatch.core;
+
+import java.util.Optional;
+import org.bramleylatch.core.RequestRow.Stage;
+import org.bramleylatch.core.RouterTimer.AttemptCheck;
+import org.bramleylatch.core.RouterTimer.HoldWait;
+import org.bramleylatch.core.RouterTimer.RequestDeadline;
+import org.bramleylatch.core.RouterTimer.ReserveWait;
+
+/** Acts on the deadlines that have passed. */
+record RouterTimers(RouterLimits limits) implements TickSystem<RouterWorld> {
+
+    @Override
+    public void run(RouterWorld world, long nowMillis) {
+        Dispatch<RouterTimer, Boolean> handlers =
+                Dispatch.<RouterTimer, Boolean>empty()
+                        .on(RequestDeadline.class, due -> expire(world, due.request()))
+                        .on(ReserveWait.class, due -> giveUpReserve(world, due.request()))
+                        .on(AttemptCheck.class, due -> check(world, due, nowMillis))
+                        .on(HoldWait.class, due -> Settlements.held(world, due.key()));
+        world.timers().takeDue(nowMillis).forEach(handlers::apply);
+    }
+
+    private static boolean expire(RouterWorld world, RequestId id) {
+        Optional<RequestRow> row = world.requests().find(id);
+        row.ifPresent(found -> Outcomes.refuse(world, found, late(found), "deadline"));
+        return row.isPresent();
+    }
+
+    private static ResultCode late(RequestRow row) {
+        return row.stage() == Stage.QUEUED ? ResultCode.OVERLOADED : ResultCode.DEADLINE_EXCEEDED;
+    }
+
+    private static boolean giveUpReserve(RouterWorld world, RequestId id) {
+        Optional<RequestRow> row =
+                world.requests().find(id).filter(found -> found.stage() == Stage.RESERVING);
+        row.ifPresent(
+                found ->
+                        Outcomes.refuse(
+                                world, found, ResultCode.BUDGET_UNAVAILABLE, "keeper silent"));
+        return row.isPresent();
+    }
+
+    private boolean check(RouterWorld world, AttemptCheck due, long nowMillis) {
+        Optional<AttemptRow> attempt = world.attempts().find(due.attempt());
+        attempt.ifPresent(row -> check(world, row, nowMillis));
+        return attempt.isPresent();
+    }
+
+    private void check(RouterWorld world, AttemptRow row, long nowMillis) {
+        boolean begun = row.progressMillis() > row.startedMillis();
+        long silentMillis = begun ? limits.stallMillis() : limits.firstTokenMillis();
+        long dueMillis = row.progressMillis() + silentMillis;
+        if (row.paused()) {
+            world.timers().set(new AttemptCheck(row.id()), nowMillis + limits.stallMillis());
+        } else if (nowMillis < dueMillis) {
+            world.timers().set(new AttemptCheck(row.id()), dueMillis);
+        } else {
+            world.inbox()
+                    .add(
+                            new RouterInput.AttemptFailed(
+                                    row.id(), RunState.UNKNOWN, "silent endpoint"));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -0,0 +1,167 @@
+package org.bramleylatch.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/** Holds the tables of one router: its requests, attempts and endpoints. */
+public final class RouterWorld implements World<RouterInput, RouterOutput> {
+    private final Mailbox<RouterInput> inbox = Mailbox.empty();
+    private final Mailbox<RouterOutput> outbox = Mailbox.empty();
+    private final Table<RequestId, RequestRow> requests = Table.empty();
+    private final Table<RequestKey, RequestId> requestsByKey = Table.empty();
+    private final Table<AttemptId, AttemptRow> attempts = Table.empty();
+    private final Table<EndpointId, EndpointRow> endpoints = Table.empty();
+    private final Table<RequestKey, SettlementRow> settlements = Table.empty();
+    private final Table<RouteName, RetryRow> retries = Table.empty();
+    private final Set<RequestId> queued = new LinkedHashSet<>();
+    private final Set<Incarnation> keepers = new LinkedHashSet<>();
+    private final Deadlines<RouterTimer> timers = Deadlines.empty();
+    private final Incarnation self;
+    private final Zone zone;
+    private final Supplier<AttemptId> attemptIds;
+    private Configuration configuration = Configuration.empty();
+    private boolean stopping;
+
+    private RouterWorld(Incarnation self, Zone zone, Supplier<AttemptId> attemptIds) {
+        this.self = self;
+        this.zone = zone;
+        this.attemptIds = attemptIds;
+    }
+
+    /**
+     * Returns a router's world without requests.
+     *
+     * @param attemptIds gives ids that no one can guess
+     */
+    public static RouterWorld of(Incarnation self, Zone zone, Supplier<AttemptId> attemptIds) {
+        return new RouterWorld(self, zone, attemptIds);
+    }
+
+    @Override
+    public Mailbox<RouterInput> inbox() {
+        return inbox;
+    }
+
+    @Override
+    public Mailbox<RouterOutput> outbox() {
+        return outbox;
+    }
+
+    @Override
+    public OptionalLong nextDeadlineMillis() {
+        return timers.earliestMillis();
+    }
+
+    /** Returns this router's incarnation. */
+    public Incarnation self() {
+        return self;
+    }
+
+    /** Returns the availability zone that this router is in. */
+    public Zone zone() {
+        return zone;
+    }
+
+    /** Returns the configuration in force. */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /** Returns the requests by id. */
+    public Table<RequestId, RequestRow> requests() {
+        return requests;
+    }
+
+    /** Returns the running attempts by id. */
+    public Table<AttemptId, AttemptRow> attempts() {
+        return attempts;
+    }
+
+    /** Returns the endpoints by id. */
+    public Table<EndpointId, EndpointRow> endpoints() {
+        return endpoints;
+    }
+
+    /** Returns the usage that is not durable yet, by request. */
+    public Table<RequestKey, SettlementRow> settlements() {
+        return settlements;
+    }
+
+    /** Returns the keepers that can be reached. */
+    public Set<Incarnation> keepers() {
+        return keepers;
+    }
+
+    /** Returns true once a planned stop has begun. */
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** Returns the request that runs under the key, if it is still on its way. */
+    public Optional<RequestRow> requestOf(RequestKey key) {
+        return requestsByKey.find(key).flatMap(requests::find);
+    }
+
+    Table<RequestKey, RequestId> requestsByKey() {
+        return requestsByKey;
+    }
+
+    Table<RouteName, RetryRow> retries() {
+        return retries;
+    }
+
+    Set<RequestId> queued() {
+        return queued;
+    }
+
+    Deadlines<RouterTimer> timers() {
+        return timers;
+    }
+
+    AttemptId newAttemptId() {
+        return attemptIds.get();
+    }
+
+    void setConfiguration(Configuration newer) {
+        configuration = newer;
+    }
+
+    void setStopping() {
+        stopping = true;
+    }
+
+    /** Returns the keeper that the budget's requests go to, if one can be reached. */
+    Optional<Incarnation> keeperOf(BudgetId budget) {
+        return Rendezvous.first(budget.value(), keepers);
+    }
+
+    List<EndpointRow> candidates(RequestRow row, long nowMillis) {
+        Optional<Version> version = row.spec().version();
+        List<EndpointRow> open =
+                new ArrayList<>(
+                        endpoints.where(
+                                endpoint ->
+                                        endpoint.backEnd().equals(row.spec().route().backEnd())
+                                                && endpoint.isOpen(nowMillis)
+                                                && !row.tried().contains(endpoint.id())
+                                                && version.filter(
+                                                                v -> !v.equals(endpoint.version()))
+                                                        .isEmpty()));
+        open.sort(Comparator.comparing(EndpointRow::id));
+        return open;
+    }
+
+    void send(RouterOutput message) {
+        outbox.add(message);
+    }
+
+    void note(EventKind kind, Object subject, String detail) {
+        outbox.add(new RouterOutput.Note(Event.of(kind, subject, detail)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Streams.java
@@ -0,0 +1,174 @@
+package org.bramleylatch.core;
+
+import java.util.Optional;
+import org.bramleylatch.core.RequestRow.Stage;
+import org.bramleylatch.core.RouterInput.AnswerEnded;
+import org.bramleylatch.core.RouterInput.AttemptFailed;
+import org.bramleylatch.core.RouterInput.CallerGone;
+import org.bramleylatch.core.RouterInput.CallerPaused;
+import org.bramleylatch.core.RouterInput.ServiceAnswered;
+import org.bramleylatch.core.RouterInput.TokensArrived;
+
+/** Carries answers from attempts to callers; what is crossed, late or repeated is dropped. */
+record Streams(RouterWorld world, RouterLimits limits, long nowMillis) {
+
+    /** Passes tokens on if they are the next ones of a running attempt. */
+    boolean deliver(TokensArrived arrived) {
+        Optional<AttemptRow> attempt = world.attempts().find(arrived.attempt());
+        if (attempt.isEmpty()) {
+            return drop(arrived.attempt(), "no such attempt");
+        }
+        AttemptRow row = attempt.get();
+        if (arrived.position() < row.nextPosition()) {
+            return drop(arrived.attempt(), "repeated position " + arrived.position());
+        }
+        if (arrived.position() > row.nextPosition()) {
+            return fail(
+                    new AttemptFailed(
+                            arrived.attempt(), RunState.RAN, "gap at " + arrived.position()));
+        }
+        world.attempts().put(row.id(), row.advanced(arrived.tokens(), nowMillis));
+        world.requests().update(row.request(), request -> request.delivered(arrived.tokens()));
+        world.send(new RouterOutput.DeliverTokens(row.request(), arrived.text()));
+        return true;
+    }
+
+    /** Settles an answer that is whole; one that is not counts as failed. */
+    boolean end(AnswerEnded ended) {
+        Optional<AttemptRow> attempt = world.attempts().find(ended.attempt());
+        if (attempt.isEmpty()) {
+            return drop(ended.attempt(), "end of no such attempt");
+        }
+        if (ended.position() != attempt.get().nextPosition()) {
+            String detail = "end at " + ended.position() + " of " + attempt.get().nextPosition();
+            return fail(new AttemptFailed(ended.attempt(), RunState.RAN, detail));
+        }
+        Outcomes.closeAttempt(world, ended.attempt());
+        world.endpoints().update(attempt.get().endpoint(), EndpointRow::succeeded);
+        world.note(EventKind.ATTEMPT_ENDED, ended.attempt(), "tokens=" + ended.position());
+        world.requests().find(attempt.get().request()).ifPresent(this::settle);
+        return true;
+    }
+
+    /** Passes a service's whole answer on. */
+    boolean answer(ServiceAnswered answered) {
+        Optional<AttemptRow> attempt = Outcomes.closeAttempt(world, answered.attempt());
+        if (attempt.isEmpty()) {
+            return drop(answered.attempt(), "answer of no such attempt");
+        }
+        world.endpoints().update(attempt.get().endpoint(), EndpointRow::succeeded);
+        world.note(EventKind.ATTEMPT_ENDED, answered.attempt(), "status=" + answered.status());
+        world.requests()
+                .find(attempt.get().request())
+                .ifPresent(row -> passOn(row, answered.status(), answered.body()));
+        return true;
+    }
+
+    /** Tries again where that is safe, or tells the caller the truth. */
+    boolean fail(AttemptFailed failed) {
+        Optional<AttemptRow> attempt = Outcomes.closeAttempt(world, failed.attempt());
+        if (attempt.isEmpty()) {
+            return drop(failed.attempt(), "failure of no such attempt");
+        }
+        world.send(new RouterOutput.CancelAttempt(failed.attempt()));
+        EndpointId endpoint = attempt.get().endpoint();
+        world.endpoints().update(endpoint, row -> row.failed(nowMillis));
+        world.note(EventKind.ATTEMPT_FAILED, failed.attempt(), endpoint + " " + failed.detail());
+        world.requests()
+                .find(attempt.get().request())
+                .ifPresent(row -> retryOrRefuse(row, endpoint, failed));
+        return true;
+    }
+
+    /** Stops or resumes reading from the endpoint, as the caller reads. */
+    boolean pause(CallerPaused paused) {
+        Optional<AttemptId> attempt =
+                world.requests().find(paused.request()).flatMap(RequestRow::attempt);
+        attempt.ifPresent(
+                id -> {
+                    world.attempts().update(id, row -> row.paused(paused.paused(), nowMillis));
+                    world.send(new RouterOutput.PauseAttempt(id, paused.paused()));
+                });
+        return attempt.isPresent();
+    }
+
+    /** Ends a request whose caller hung up. */
+    boolean abandon(CallerGone gone) {
+        Optional<RequestRow> row =
+                world.requests().find(gone.request()).filter(r -> r.stage() != Stage.SETTLING);
+        row.ifPresent(found -> Outcomes.abandon(world, found));
+        return row.isPresent();
+    }
+
+    private boolean drop(AttemptId attempt, String detail) {
+        world.note(EventKind.MESSAGE_DROPPED, attempt, detail);
+        return false;
+    }
+
+    private void settle(RequestRow row) {
+        RequestSpec spec = row.spec();
+        world.requests().put(spec.id(), row.in(Stage.SETTLING));
+        world.timers().clear(new RouterTimer.RequestDeadline(spec.id()));
+        world.timers().set(new RouterTimer.HoldWait(spec.key()), nowMillis + limits.holdMillis());
+        long tokens = spec.promptTokens() + row.position();
+        Settlements.open(world, row, tokens, Optional.of(spec.id()));
+    }
+
+    private void passOn(RequestRow row, int status, String body) {
+        RequestSpec spec = row.spec();
+        if (!spec.route().repeatable()) {
+            world.keeperOf(spec.budget())
+                    .ifPresent(keeper -> recordOutcome(keeper, spec.key(), status, body));
+        }
+        if (row.grant().isPresent()) {
+            Settlements.open(world, row, spec.worstCaseTokens(), Optional.empty());
+        }
+        Outcomes.deliverService(world, row, status, body);
+    }
+
+    private void recordOutcome(Incarnation keeper, RequestKey key, int status, String body) {
+        world.send(
+                new RouterOutput.ToKeeper(
+                        keeper,
+                        new KeeperInput.IntentEnded(
+                                key, world.self(), RunState.RAN, status, body)));
+    }
+
+    private void retryOrRefuse(RequestRow row, EndpointId endpoint, AttemptFailed failed) {
+        RunState ran = combine(row, failed.ran());
+        RequestRow after = row.failedAt(endpoint, ran);
+        if (mayRetry(after)) {
+            spendRetry(after);
+            world.requests().put(after.spec().id(), after.in(Stage.QUEUED));
+            world.queued().add(after.spec().id());
+        } else {
+            ResultCode code =
+                    row.position() > 0 ? ResultCode.ANSWER_INCOMPLETE : ResultCode.ENDPOINT_FAILED;
+            Outcomes.refuse(world, after, code, failed.detail());
+        }
+    }
+
+    private static RunState combine(RequestRow row, RunState latest) {
+        boolean earlierMayHaveRun = row.attempts() > 1 && row.ran() != RunState.NOT_RUN;
+        return row.position() > 0
+                ? RunState.RAN
+                : earlierMayHaveRun && latest == RunState.NOT_RUN ? RunState.UNKNOWN : latest;
+    }
+
+    private boolean mayRetry(RequestRow row) {
+        boolean safe =
+                row.spec().route().repeatable()
+                        ? row.position() == 0
+                        : row.ran() == RunState.NOT_RUN;
+        boolean allowed =
+                world.retries()
+                        .find(row.spec().route().name())
+                        .filter(RetryRow::allows)
+                        .isPresent();
+        return safe && allowed && row.attempts() < limits.mostAttempts();
+    }
+
+    private void spendRetry(RequestRow row) {
+        world.retries().update(row.spec().route().name(), RetryRow::spent);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Version.java
@@ -0,0 +1,31 @@
+package org.bramleylatch.core;
+
+import static java.util.Objects.requireNonNull;
+
+/** Identifies an endpoint version. */
+public record Version(String value) implements Comparable<Version> {
+
+    /** Checks that the version label is present. */
+    public Version {
+        requireNonNull(value, "version label");
+    }
+
+    /**
+     * Returns the version label with the given text.
+     *
+     * @param value the text, not null
+     */
+    public static Version of(String value) {
+        return new Version(value);
+    }
+
+    @Override
+    public int compareTo(Version other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/bramleylatch/edge/Servers.java
@@ -0,0 +1,49 @@
+package org.bramleylatch.edge;
+
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.net.BindException;
+import java.util.concurrent.CompletableFuture;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.ResultException;
+import org.bramleylatch.wire.Address;
+
+/** Starts HTTP servers. */
+public final class Servers {
+
+    private Servers() {}
+
+    /**
+     * Listens on the address.
+     *
+     * @return the server; fails with PORT_IN_USE if another process has the port
+     */
+    public static CompletableFuture<HttpServer> listen(
+            Vertx vertx, Address address, Handler<HttpServerRequest> handler) {
+        HttpServerOptions options =
+                new HttpServerOptions()
+                        .setHost(address.ip())
+                        .setPort(address.port())
+                        .setTcpNoDelay(true);
+        return vertx.createHttpServer(options)
+                .requestHandler(handler)
+                .listen()
+                .toCompletionStage()
+                .toCompletableFuture()
+                .handle((server, failure) -> checked(address, server, failure));
+    }
+
+    private static HttpServer checked(Address address, HttpServer server, Throwable failure) {
+        if (failure instanceof BindException) {
+            throw ResultException.of(
+                    ResultCode.PORT_IN_USE, address + " is taken; change listen in the settings");
+        }
+        if (failure != null) {
+            throw ResultException.of(ResultCode.INTERNAL, failure.toString());
+        }
+        return server;
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/bramleylatch/edge/Timeline.java
@@ -0,0 +1,92 @@
+package org.bramleylatch.edge;
+
+import io.vertx.core.Vertx;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.bramleylatch.core.Event;
+import org.bramleylatch.core.Incarnation;
+import org.bramleylatch.core.Zone;
+import org.bramleylatch.wire.Json;
+import org.bramleylatch.wire.TimelineLine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Writes a process's events as JSON lines; a line is on its way to the file within a moment. */
+public final class Timeline {
+    private static final Logger LOG = LoggerFactory.getLogger(Timeline.class);
+    private static final long FLUSH_MILLIS = 100;
+
+    private final String process;
+    private final Incarnation incarnation;
+    private final Zone zone;
+    private final InstantSource clock;
+    private final Lamport lamport;
+    private final Optional<BufferedWriter> file;
+
+    /**
+     * Opens the file for appending.
+     *
+     * @param process the name of the binary
+     * @param file where to write; nothing is written if absent
+     */
+    public Timeline(
+            Vertx vertx,
+            String process,
+            Incarnation incarnation,
+            Zone zone,
+            InstantSource clock,
+            Lamport lamport,
+            Optional<String> file) {
+        this.process = process;
+        this.incarnation = incarnation;
+        this.zone = zone;
+        this.clock = clock;
+        this.lamport = lamport;
+        this.file = file.map(Timeline::open);
+        this.file.ifPresent(writer -> vertx.setPeriodic(FLUSH_MILLIS, id -> flush()));
+    }
+
+    /** Writes an event; may be called from any thread. */
+    public synchronized void write(Event event) {
+        file.ifPresent(writer -> write(writer, event));
+    }
+
+    /** Hands all lines to the operating system. */
+    public synchronized void flush() {
+        file.ifPresent(Timeline::flush);
+    }
+
+    private void write(BufferedWriter writer, Event event) {
+        TimelineLine line =
+                new TimelineLine(lamport.next(), clock.millis(), process, incarnation, zone, event);
+        try {
+            writer.write(Json.write(line));
+            writer.newLine();
+        } catch (IOException full) {
+            LOG.warn("time line cannot be written: {}", full.getMessage());
+        }
+    }
+
+    private static void flush(BufferedWriter writer) {
+        try {
+            writer.flush();
+        } catch (IOException full) {
+            LOG.warn("time line cannot be flushed: {}", full.getMessage());
+        }
+    }
+
+    private static BufferedWriter open(String name) {
+        try {
+            return Files.newBufferedWriter(
+                    Path.of(name), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        } catch (IOException unwritable) {
+            throw new UncheckedIOException(unwritable);
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/bramleylatch/edge/package-info.java
@@ -0,0 +1,2 @@
+/** Connects core to the runtime: the tick loop, the platform, links, metrics and the time line. */
+package org.bramleylatch.edge;
--- /dev/null
+++ b/wire/src/main/java/org/bramleylatch/wire/Json.java
@@ -0,0 +1,180 @@
+package org.bramleylatch.wire;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.util.List;
+import org.bramleylatch.core.AttemptId;
+import org.bramleylatch.core.BudgetId;
+import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.Incarnation;
+import org.bramleylatch.core.KeeperInput;
+import org.bramleylatch.core.KeeperOutput;
+import org.bramleylatch.core.LedgerImage;
+import org.bramleylatch.core.LedgerRecord;
+import org.bramleylatch.core.RequestId;
+import org.bramleylatch.core.RequestKey;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.ResultException;
+import org.bramleylatch.core.RouteName;
+import org.bramleylatch.core.Version;
+import org.bramleylatch.core.Zone;
+
+/** Maps the types of core to JSON; ids become strings, families of records carry their type. */
+public final class Json {
+    private static final List<Class<?>> IDS =
+            List.of(
+                    AttemptId.class,
+                    BudgetId.class,
+                    EndpointId.class,
+                    Incarnation.class,
+                    RequestId.class,
+                    RouteName.class,
+                    Version.class,
+                    Zone.class);
+    private static final List<Class<?>> FAMILIES =
+            List.of(
+                    LedgerRecord.class,
+                    LedgerImage.Row.class,
+                    KeeperInput.class,
+                    KeeperOutput.class,
+                    ConfigRecord.class);
+    private static final ObjectMapper MAPPER = mapper();
+
+    private Json() {}
+
+    /** Returns the text of the value. */
+    public static String write(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** Returns the bytes of the value, in UTF-8. */
+    public static byte[] writeBytes(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /**
+     * Returns the value of the text.
+     *
+     * @throws ResultException with MALFORMED_JSON if the text does not fit the type
+     */
+    public static <T> T read(String text, Class<T> type) {
+        try {
+            return MAPPER.readValue(text, type);
+        } catch (JsonProcessingException malformed) {
+            throw ResultException.of(ResultCode.MALFORMED_JSON, place(malformed));
+        }
+    }
+
+    /**
+     * Returns the value of the tree.
+     *
+     * @throws ResultException with MALFORMED_JSON if the tree does not fit the type
+     */
+    public static <T> T read(JsonNode tree, Class<T> type) {
+        try {
+            return MAPPER.treeToValue(tree, type);
+        } catch (JsonProcessingException malformed) {
+            throw ResultException.of(ResultCode.MALFORMED_JSON, place(malformed));
+        }
+    }
+
+    /**
+     * Returns the tree of the text.
+     *
+     * @throws ResultException with MALFORMED_JSON if the text is not JSON
+     */
+    public static JsonNode readTree(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException malformed) {
+            throw ResultException.of(ResultCode.MALFORMED_JSON, place(malformed));
+        }
+    }
+
+    private static String place(JsonProcessingException malformed) {
+        String where =
+                malformed.getLocation() == null
+                        ? ""
+                        : "line "
+                                + malformed.getLocation().getLineNr()
+                                + ", column "
+                                + malformed.getLocation().getColumnNr()
+                                + ": ";
+        return where + malformed.getOriginalMessage();
+    }
+
+    private static ObjectMapper mapper() {
+        JsonMapper.Builder builder =
+                JsonMapper.builder()
+                        .addModule(new Jdk8Module())
+                        .addModule(keyModule())
+                        .serializationInclusion(JsonInclude.Include.NON_ABSENT)
+                        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        IDS.forEach(id -> builder.addMixIn(id, IdMixIn.class));
+        FAMILIES.forEach(family -> builder.addMixIn(family, FamilyMixIn.class));
+        FAMILIES.forEach(family -> register(builder, family));
+        return builder.build();
+    }
+
+    private static SimpleModule keyModule() {
+        return new SimpleModule()
+                .addSerializer(RequestKey.class, ToStringSerializer.instance)
+                .addDeserializer(RequestKey.class, new KeyReader());
+    }
+
+    private static void register(JsonMapper.Builder builder, Class<?> family) {
+        for (Class<?> type : family.getPermittedSubclasses()) {
+            builder.registerSubtypes(new NamedType(type, type.getSimpleName()));
+        }
+    }
+
+    private abstract static class IdMixIn {
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        IdMixIn(String value) {}
+
+        @JsonValue
+        abstract String value();
+    }
+
+    private static final class KeyReader extends StdDeserializer<RequestKey> {
+        KeyReader() {
+            super(RequestKey.class);
+        }
+
+        @Override
+        public RequestKey deserialize(JsonParser parser, DeserializationContext context)
+                throws IOException {
+            String text = parser.getText();
+            return RequestKey.parse(text)
+                    .orElseThrow(
+                            () -> new JsonParseException(parser, "not a request key: " + text));
+        }
+    }
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+    private interface FamilyMixIn {}
+}
--- /dev/null
+++ b/wire/src/main/java/org/bramleylatch/wire/Schema.java
@@ -0,0 +1,66 @@
+package org.bramleylatch.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.networknt.schema.Error;
+import com.networknt.schema.InputFormat;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.ResultException;
+
+/** Checks JSON against a schema that ships with this module; messages name the place. */
+public final class Schema {
+    private final com.networknt.schema.Schema schema;
+    private final String name;
+
+    private Schema(String name, com.networknt.schema.Schema schema) {
+        this.name = name;
+        this.schema = schema;
+    }
+
+    /** Returns the schema with the given file name. */
+    public static Schema of(String name) {
+        SchemaRegistry registry =
+                SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12);
+        return new Schema(name, registry.getSchema(text(name), InputFormat.JSON));
+    }
+
+    /** Returns what is wrong with the text, one message a place; empty if it fits. */
+    public List<String> check(String json) {
+        return schema.validate(json, InputFormat.JSON).stream().map(Schema::describe).toList();
+    }
+
+    /**
+     * Returns the value of a text that fits the schema.
+     *
+     * @param source the file or section, for the message
+     * @throws ResultException with the given code if it does not
+     */
+    public <T> T read(String source, String json, Class<T> type, ResultCode code) {
+        JsonNode tree = Json.readTree(json);
+        List<String> faults = check(json);
+        if (!faults.isEmpty()) {
+            String all = faults.stream().collect(Collectors.joining("; "));
+            throw ResultException.of(code, source + ": " + all + " (see schema " + name + ")");
+        }
+        return Json.read(tree, type);
+    }
+
+    private static String describe(Error fault) {
+        return "at " + fault.getInstanceLocation() + ": " + fault.getMessage();
+    }
+
+    private static String text(String name) {
+        try (InputStream in = Schema.class.getResourceAsStream(name)) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
+    }
+}
