Run the whole path as separate processes in two zones

Change: router, keeper and admin daemons, bramleylatchctl, stand-ins for platform, engines and services, and bin/demo, which judges every outcome. A first read of a stream no longer waits for a record: the demo's processes were ready only after the 10 s long poll. Ruled out: a chunk of tokens held in each router; a reservation held by a keeper survives the router's death and costs one exchange in the zone.

--- /dev/null
+++ b/admin/src/main/java/org/bramleylatch/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Serves the administration API. */
+package org.bramleylatch.admin;
--- /dev/null
+++ b/bench/src/main/java/org/bramleylatch/bench/Await.java
@@ -0,0 +1,34 @@
+package org.bramleylatch.bench;
+
+import java.util.function.BooleanSupplier;
+
+/** Waits for outcomes of other processes. */
+public final class Await {
+    private static final long PAUSE_MILLIS = 25;
+
+    private Await() {}
+
+    /**
+     * Waits until the condition holds.
+     *
+     * @param what names it, for the message
+     * @throws IllegalStateException if it does not hold within the time, in milliseconds
+     */
+    public static void until(String what, long millis, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + millis * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > endNanos) {
+                throw new IllegalStateException("not within " + millis + " ms: " + what);
+            }
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bramleylatch/bench/Caller.java
@@ -0,0 +1,109 @@
+package org.bramleylatch.bench;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.bramleylatch.wire.Address;
+
+/** Calls one process over HTTP, as a caller that knows nothing of the system would. */
+public final class Caller {
+    private static final Duration TIMEOUT = Duration.ofSeconds(60);
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private static final int OK = 200;
+
+    private final Address address;
+    private final Map<String, String> headers;
+
+    private Caller(Address address, Map<String, String> headers) {
+        this.address = address;
+        this.headers = headers;
+    }
+
+    /** Returns a caller without a key. */
+    public static Caller of(Address address) {
+        return new Caller(address, Map.of());
+    }
+
+    /** Returns a caller with the given bearer key. */
+    public Caller withKey(String key) {
+        return with("authorization", "Bearer " + key);
+    }
+
+    /** Returns a caller that sends the header too. */
+    public Caller with(String name, String value) {
+        Map<String, String> more = new LinkedHashMap<>(headers);
+        more.put(name, value);
+        return new Caller(address, more);
+    }
+
+    /** Returns the answer to a GET. */
+    public Reply get(String path) {
+        return send(request(path).GET().build());
+    }
+
+    /** Returns the answer to a POST. */
+    public Reply post(String path, String body) {
+        return send(request(path).POST(HttpRequest.BodyPublishers.ofString(body)).build());
+    }
+
+    /** Returns the answer to a PUT. */
+    public Reply put(String path, String body) {
+        return send(request(path).PUT(HttpRequest.BodyPublishers.ofString(body)).build());
+    }
+
+    /** Returns the answer to a POST once it comes. */
+    public CompletableFuture<Reply> postLater(String path, String body) {
+        HttpRequest request = request(path).POST(HttpRequest.BodyPublishers.ofString(body)).build();
+        return CLIENT.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .thenApply(answer -> new Reply(answer.statusCode(), answer.body()));
+    }
+
+    /** Returns true if a GET of the path is answered with 200. */
+    public boolean isOk(String path) {
+        try {
+            return get(path).status() == OK;
+        } catch (UncheckedIOException notYet) {
+            return false;
+        }
+    }
+
+    private HttpRequest.Builder request(String path) {
+        HttpRequest.Builder builder =
+                HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT);
+        headers.forEach(builder::header);
+        return builder;
+    }
+
+    private static Reply send(HttpRequest request) {
+        try {
+            HttpResponse<String> answer =
+                    CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+            return new Reply(answer.statusCode(), answer.body());
+        } catch (IOException unreachable) {
+            throw new UncheckedIOException(unreachable);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    /** Is an answer. */
+    public record Reply(int status, String body) {
+
+        /** Returns this answer if it has the status. */
+        public Reply expect(int expected) {
+            return Optional.of(this)
+                    .filter(reply -> reply.status == expected)
+                    .orElseThrow(() -> new IllegalStateException(status + " " + body));
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bramleylatch/bench/Documents.java
@@ -0,0 +1,44 @@
+package org.bramleylatch.bench;
+
+import org.bramleylatch.edge.Digests;
+
+/** Holds the configuration sections that the demo and the tests publish. */
+public final class Documents {
+
+    private Documents() {}
+
+    /** Returns the section of routes: chats, stock lookups, and bookings that may run once. */
+    public static String routes() {
+        return """
+            [
+              {"name":"seilhelfer","kind":"CHAT","selector":"seilhelfer-1","backEnd":"seilhelfer",
+               "repeatable":true,"costTokens":0,"shares":[]},
+              {"name":"stock","kind":"SERVICE","selector":"/stock","backEnd":"ordnerei",
+               "repeatable":true,"costTokens":0,"shares":[]},
+              {"name":"bookings","kind":"SERVICE","selector":"/bookings","backEnd":"ordnerei",
+               "repeatable":false,"costTokens":5,"shares":[]}
+            ]
+            """;
+    }
+
+    /** Returns the section of members. */
+    public static String members() {
+        return "[{\"keySha256\":\""
+                + Digests.sha256(Deployment.MEMBER_KEY)
+                + "\",\"budget\":\""
+                + Deployment.BUDGET
+                + "\",\"workspace\":\"dispatch\"}]";
+    }
+
+    /** Returns a chat about an order dossier of the given length, in lines. */
+    public static String chat(int lines, int mostTokens, boolean streamed) {
+        String dossier = "order 17: sisal, lay right, three strands, forty metres. ".repeat(lines);
+        return "{\"model\":\"seilhelfer-1\",\"stream\":"
+                + streamed
+                + ",\"max_tokens\":"
+                + mostTokens
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\""
+                + dossier
+                + "\"}]}";
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bramleylatch/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the demo, the load and the measurements. */
+package org.bramleylatch.bench;
--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -33,6 +33,7 @@
 
     /** Takes the grant that pays, unless the request went on without it. */
     boolean reserved(ReserveGranted granted) {
+        world.keepers().add(granted.keeper());
         Optional<RequestRow> row =
                 world.requestOf(granted.key())
                         .filter(found -> found.stage() == Stage.RESERVING)
@@ -63,8 +64,13 @@
                                         found.keeper()
                                                 .filter(refused.keeper()::equals)
                                                 .isPresent());
-        row.ifPresent(
-                found -> Outcomes.refuse(world, found, refused.code(), "no tokens set aside"));
+        if (refused.code() == ResultCode.SHUTTING_DOWN) {
+            world.keepers().remove(refused.keeper());
+            row.ifPresent(found -> askKeeper(world, found));
+        } else {
+            row.ifPresent(
+                    found -> Outcomes.refuse(world, found, refused.code(), "no tokens set aside"));
+        }
         return row.isPresent();
     }
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -1,19 +1,20 @@
 package org.bramleylatch.core;
 
 import java.util.Optional;
-import org.bramleylatch.core.KeeperInput.AppendDone;
 import org.bramleylatch.core.KeeperInput.AttemptNoted;
 import org.bramleylatch.core.KeeperInput.EndpointReported;
-import org.bramleylatch.core.KeeperInput.EntriesRead;
+import org.bramleylatch.core.KeeperInput.FromLog;
 import org.bramleylatch.core.KeeperInput.IntentAsked;
 import org.bramleylatch.core.KeeperInput.IntentEnded;
-import org.bramleylatch.core.KeeperInput.LogSeen;
 import org.bramleylatch.core.KeeperInput.ReservationReleased;
 import org.bramleylatch.core.KeeperInput.ReserveAsked;
 import org.bramleylatch.core.KeeperInput.RouterLost;
-import org.bramleylatch.core.KeeperInput.SnapshotLoaded;
 import org.bramleylatch.core.KeeperInput.StopAsked;
 import org.bramleylatch.core.KeeperInput.UsageGiven;
+import org.bramleylatch.core.LedgerFeed.AppendDone;
+import org.bramleylatch.core.LedgerFeed.EntriesRead;
+import org.bramleylatch.core.LedgerFeed.LogSeen;
+import org.bramleylatch.core.LedgerFeed.SnapshotLoaded;
 
 /** Puts what arrived into the keeper's tables. */
 record KeeperInbox(KeeperLimits limits) implements TickSystem<KeeperWorld> {
@@ -39,11 +40,16 @@
                     .on(IntentEnded.class, this::finish)
                     .on(RouterLost.class, this::loseRouter)
                     .on(EndpointReported.class, this::settleOrphan)
+                    .on(FromLog.class, input -> feed().apply(input.feed()))
+                    .on(StopAsked.class, message -> stop());
+        }
+
+        private Dispatch<LedgerFeed, Boolean> feed() {
+            return Dispatch.<LedgerFeed, Boolean>empty()
                     .on(EntriesRead.class, this::fold)
                     .on(SnapshotLoaded.class, this::load)
                     .on(AppendDone.class, this::acknowledge)
-                    .on(LogSeen.class, this::seeLog)
-                    .on(StopAsked.class, message -> stop());
+                    .on(LogSeen.class, this::seeLog);
         }
 
         private boolean reserve(ReserveAsked ask) {
@@ -55,7 +61,7 @@
                                         ask.router(), ask.key(), refusal.get()));
                 return false;
             }
-            Reservations.adopt(world, ask.key());
+            Reservations.drop(world, ask.key());
             world.waiting()
                     .put(
                             ask.key(),
@@ -72,7 +78,7 @@
             if (world.isStopping()) {
                 return Optional.of(ResultCode.SHUTTING_DOWN);
             }
-            if (world.waiting().has(ask.key()) || isHeldByLiving(ask.key())) {
+            if (world.waiting().has(ask.key()) || isHeldElsewhere(ask)) {
                 return Optional.of(ResultCode.INTENT_IN_PROGRESS);
             }
             return world.pendingUsages().has(ask.key())
@@ -81,8 +87,11 @@
                     : Optional.empty();
         }
 
-        private boolean isHeldByLiving(RequestKey key) {
-            return world.reservations().find(key).filter(row -> !row.orphaned()).isPresent();
+        private boolean isHeldElsewhere(ReserveAsked ask) {
+            return world.reservations()
+                    .find(ask.key())
+                    .filter(row -> !row.orphaned() || row.tokens() > ask.tokens())
+                    .isPresent();
         }
 
         private void armReview() {
@@ -171,6 +180,7 @@
                 return false;
             }
             world.load(loaded.image());
+            world.setSnapshotOffset(loaded.image().nextOffset());
             ReadBack.reconcile(world);
             String detail = "nextOffset=" + loaded.image().nextOffset();
             world.note(EventKind.SNAPSHOT_LOADED, world.self(), detail);
@@ -178,7 +188,7 @@
         }
 
         private boolean acknowledge(AppendDone done) {
-            world.setAppended(done.lastSequence());
+            world.writer().appended(done.lastSequence());
             return true;
         }
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -1,6 +1,5 @@
 package org.bramleylatch.core;
 
-import java.util.List;
 import java.util.OptionalLong;
 
 /** Is a message into a keeper's world. */
@@ -34,23 +33,8 @@
     /** An endpoint answered what an attempt used; empty if it could not be asked. */
     record EndpointReported(RequestKey key, OptionalLong tokens) implements KeeperInput {}
 
-    /** Records were read from the log. */
-    record EntriesRead(List<LogEntry> entries) implements KeeperInput {
-
-        /** Copies the list. */
-        public EntriesRead {
-            entries = List.copyOf(entries);
-        }
-    }
-
-    /** A snapshot takes the place of what was read so far. */
-    record SnapshotLoaded(LedgerImage image) implements KeeperInput {}
-
-    /** A batch was appended; one whose answer is lost is sent again. */
-    record AppendDone(long lastSequence) implements KeeperInput {}
-
-    /** The log stopped or resumed answering reads. */
-    record LogSeen(boolean reachable) implements KeeperInput {}
+    /** The log tells something. */
+    record FromLog(LedgerFeed feed) implements KeeperInput {}
 
     /** A planned stop begins. */
     record StopAsked() implements KeeperInput {}
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -10,6 +10,7 @@
  * @param orphanRetryMillis how long to wait before an endpoint is asked again
  * @param reviewMillis how often every holding is looked at
  * @param mostRecords the most records in one append
+ * @param snapshotEveryRecords how many records lie between two snapshots
  */
 public record KeeperLimits(
         long reserveWaitMillis,
@@ -18,10 +19,24 @@
         long appendRetryMillis,
         long orphanRetryMillis,
         long reviewMillis,
-        int mostRecords) {
+        int mostRecords,
+        int snapshotEveryRecords) {
 
     /** Returns the limits for the sizes of today. */
     public static KeeperLimits standard() {
-        return new KeeperLimits(1_500, 2_000, 50, 250, 1_000, 5_000, 500);
+        return new KeeperLimits(1_500, 2_000, 50, 250, 1_000, 5_000, 500, 20_000);
+    }
+
+    /** Returns the limits with another distance between snapshots. */
+    public KeeperLimits withSnapshotEvery(int records) {
+        return new KeeperLimits(
+                reserveWaitMillis,
+                intentWaitMillis,
+                appendIntervalMillis,
+                appendRetryMillis,
+                orphanRetryMillis,
+                reviewMillis,
+                mostRecords,
+                records);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperStopSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperStopSystem.java
@@ -28,7 +28,7 @@
         return world.waiting().size() == 0
                 && world.reservations().size() == 0
                 && world.pendingUsages().size() == 0
-                && !world.hasUnsettledRecords()
+                && world.writer().isIdle()
                 && world.holdings().rows().noneMatch(row -> row.boundTokens() > 0);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
@@ -18,6 +18,7 @@
                 new ReservingSystem(),
                 new GrantSystem(policy),
                 new KeeperStopSystem(),
+                new SnapshotSystem(limits),
                 new AppendSystem(limits));
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -1,11 +1,7 @@
 package org.bramleylatch.core;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.OptionalLong;
-import java.util.Queue;
 import java.util.Set;
 
 /**
@@ -22,13 +18,11 @@
     private final Table<RequestKey, IntentAskRow> intentAsks = Table.empty();
     private final Deadlines<KeeperTimer> timers = Deadlines.empty();
     private final Set<BudgetId> touched = new HashSet<>();
-    private final Queue<LedgerRecord> toAppend = new ArrayDeque<>();
-    private final List<Numbered> inFlight = new ArrayList<>();
+    private final LogWriter writer = LogWriter.empty();
     private final Incarnation self;
     private Ledger ledger = Ledger.empty();
     private LedgerFold fold = LedgerFold.of(ledger);
-    private long lastSequence;
-    private long appendedSequence;
+    private long snapshotOffset;
     private boolean logReachable;
     private boolean stopping;
 
@@ -96,11 +90,6 @@
         return stopping;
     }
 
-    /** Returns true if a record waits to be appended or read back. */
-    public boolean hasUnsettledRecords() {
-        return !toAppend.isEmpty() || !inFlight.isEmpty();
-    }
-
     /** Returns the tokens of the own grant that nothing is bound to. */
     public long availableTokens(BudgetId budget) {
         long open = ledger.grant(budget, self).map(GrantRow::openTokens).orElse(0L);
@@ -119,23 +108,14 @@
         return touched;
     }
 
-    Queue<LedgerRecord> toAppend() {
-        return toAppend;
-    }
-
-    List<Numbered> inFlight() {
-        return inFlight;
+    LogWriter writer() {
+        return writer;
     }
 
     LedgerFold fold() {
         return fold;
     }
 
-    boolean isInFlightAppended() {
-        return !inFlight.isEmpty()
-                && appendedSequence >= inFlight.get(inFlight.size() - 1).sequence();
-    }
-
     void load(LedgerImage image) {
         ledger = Ledger.of(image);
         fold = LedgerFold.of(ledger);
@@ -145,8 +125,12 @@
         logReachable = reachable;
     }
 
-    void setAppended(long sequence) {
-        appendedSequence = Math.max(appendedSequence, sequence);
+    long snapshotOffset() {
+        return snapshotOffset;
+    }
+
+    void setSnapshotOffset(long offset) {
+        snapshotOffset = Math.max(snapshotOffset, offset);
     }
 
     void setStopping() {
@@ -158,20 +142,7 @@
     }
 
     void append(LedgerRecord record) {
-        toAppend.add(record);
-    }
-
-    List<LedgerRecord> takeToAppend(int most) {
-        List<LedgerRecord> taken = new ArrayList<>();
-        while (taken.size() < most && !toAppend.isEmpty()) {
-            taken.add(toAppend.remove());
-        }
-        return taken;
-    }
-
-    Numbered number(LedgerRecord record) {
-        lastSequence++;
-        return new Numbered(lastSequence, record);
+        writer.add(record);
     }
 
     void note(EventKind kind, Object subject, String detail) {
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -0,0 +1,131 @@
+package org.bramleylatch.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Queue;
+import org.bramleylatch.core.LedgerRecord.SnapshotPart;
+import org.bramleylatch.core.LedgerRecord.UsageReported;
+
+/**
+ * Brings a process's records to the log, one batch at a time. A batch whose answer is unknown is
+ * sent again with the same numbers, so that the fold takes each record once.
+ */
+public final class LogWriter {
+    private static final int SNAPSHOT_PART_WEIGHT = 100;
+
+    private final Queue<LedgerRecord> queue = new ArrayDeque<>();
+    private final List<Numbered> inFlight = new ArrayList<>();
+    private long lastSequence;
+    private long appendedSequence;
+    private long nextSendMillis;
+    private long resendMillis;
+
+    private LogWriter() {}
+
+    /** Returns a writer without records. */
+    public static LogWriter empty() {
+        return new LogWriter();
+    }
+
+    /** Queues a record. */
+    public void add(LedgerRecord record) {
+        queue.add(record);
+    }
+
+    /** Returns true if no record waits to be appended or read back. */
+    public boolean isIdle() {
+        return queue.isEmpty() && inFlight.isEmpty();
+    }
+
+    /**
+     * Returns the batch that is to be sent now, if one is.
+     *
+     * @param nowMillis the time of the tick, in milliseconds
+     */
+    public Optional<List<Numbered>> takeDue(long nowMillis, KeeperLimits limits) {
+        if (inFlight.isEmpty() && !queue.isEmpty() && nowMillis >= nextSendMillis) {
+            coalesce(takeQueued(limits.mostRecords())).forEach(this::number);
+            nextSendMillis = nowMillis + limits.appendIntervalMillis();
+            return send(nowMillis, limits);
+        }
+        return isUnanswered() && nowMillis >= resendMillis
+                ? send(nowMillis, limits)
+                : Optional.empty();
+    }
+
+    /** Returns when {@link #takeDue} is to be asked next, in milliseconds, if ever. */
+    public OptionalLong dueMillis() {
+        if (isUnanswered()) {
+            return OptionalLong.of(resendMillis);
+        }
+        return inFlight.isEmpty() && !queue.isEmpty()
+                ? OptionalLong.of(nextSendMillis)
+                : OptionalLong.empty();
+    }
+
+    /** Notes that the log answered the batch that ends with the given number. */
+    public void appended(long sequence) {
+        appendedSequence = Math.max(appendedSequence, sequence);
+    }
+
+    /** Notes that the record with the given number was read back. */
+    public void readBack(long sequence) {
+        inFlight.removeIf(mine -> mine.sequence() == sequence);
+    }
+
+    /** Returns the records in flight up to the given number. */
+    public List<Numbered> inFlightUpTo(long sequence) {
+        return inFlight.stream().filter(mine -> mine.sequence() <= sequence).toList();
+    }
+
+    /** Returns the records with all usage of one grant in one record. */
+    static List<LedgerRecord> coalesce(List<LedgerRecord> records) {
+        Map<Object, LedgerRecord> merged = new LinkedHashMap<>();
+        records.forEach(record -> merged.merge(identity(record), record, LogWriter::join));
+        return List.copyOf(merged.values());
+    }
+
+    private Optional<List<Numbered>> send(long nowMillis, KeeperLimits limits) {
+        resendMillis = nowMillis + limits.appendRetryMillis();
+        return Optional.of(List.copyOf(inFlight));
+    }
+
+    private boolean isUnanswered() {
+        return !inFlight.isEmpty()
+                && appendedSequence < inFlight.get(inFlight.size() - 1).sequence();
+    }
+
+    private List<LedgerRecord> takeQueued(int most) {
+        List<LedgerRecord> taken = new ArrayList<>();
+        int weight = 0;
+        while (weight < most && !queue.isEmpty()) {
+            LedgerRecord record = queue.remove();
+            weight += record instanceof SnapshotPart ? SNAPSHOT_PART_WEIGHT : 1;
+            taken.add(record);
+        }
+        return taken;
+    }
+
+    private void number(LedgerRecord record) {
+        lastSequence++;
+        inFlight.add(new Numbered(lastSequence, record));
+    }
+
+    private static Object identity(LedgerRecord record) {
+        return record instanceof UsageReported usage
+                ? GrantKey.of(usage.budget(), usage.holder())
+                : new Object();
+    }
+
+    private static LedgerRecord join(LedgerRecord first, LedgerRecord second) {
+        UsageReported head = (UsageReported) first;
+        List<Usage> usages = new ArrayList<>(head.usages());
+        usages.addAll(((UsageReported) second).usages());
+        return new UsageReported(head.budget(), head.holder(), usages);
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/ReadBack.java
+++ b/core/src/main/java/org/bramleylatch/core/ReadBack.java
@@ -29,7 +29,7 @@
     static void reconcile(KeeperWorld world) {
         long taken =
                 world.ledger().writers().find(world.self()).map(WriterRow::sequence).orElse(0L);
-        List<Numbered> done = world.inFlight().stream().filter(n -> n.sequence() <= taken).toList();
+        List<Numbered> done = world.writer().inFlightUpTo(taken);
         done.forEach(numbered -> takeOwn(world, numbered));
         world.pendingUsages()
                 .where(row -> world.ledger().settledKeys().has(row.usage().key()))
@@ -41,7 +41,7 @@
     }
 
     private static void takeOwn(KeeperWorld world, Numbered numbered) {
-        world.inFlight().removeIf(mine -> mine.sequence() == numbered.sequence());
+        world.writer().readBack(numbered.sequence());
         LedgerRecord record = numbered.record();
         if (record instanceof GrantAsked asked) {
             world.holdings().update(asked.budget(), row -> row.asking(false));
@@ -55,6 +55,10 @@
     }
 
     private static void touch(KeeperWorld world, LedgerRecord record) {
+        if (record instanceof LedgerRecord.SnapshotPart part) {
+            world.setSnapshotOffset(part.nextOffset());
+            return;
+        }
         if (record instanceof GrantAsked asked) {
             world.touched().add(asked.budget());
         } else if (record instanceof GrantReturned returned) {
--- a/core/src/main/java/org/bramleylatch/core/Reservations.java
+++ b/core/src/main/java/org/bramleylatch/core/Reservations.java
@@ -28,15 +28,6 @@
         world.timers().clear(new KeeperTimer.ReserveWait(row.key()));
     }
 
-    /**
-     * Ends the reservation of a lost router because its caller retries. The retry alone is billed;
-     * the lost attempt is cancelled at its endpoint.
-     */
-    static void adopt(KeeperWorld world, RequestKey key) {
-        world.reservations().find(key).ifPresent(row -> askEndpoint(world, row));
-        drop(world, key);
-    }
-
     /** Turns the reservation, if it is here, into usage that waits to be appended. */
     static void settle(
             KeeperWorld world, GrantKey grant, Usage usage, Optional<Incarnation> router) {
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -24,6 +24,6 @@
 
     /** Returns the limits for the sizes of today. */
     public static RouterLimits standard() {
-        return new RouterLimits(500, 3, 4_000, 10_000, 5_000, 500, 2_000, 100);
+        return new RouterLimits(500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimers.java
@@ -15,7 +15,9 @@
         Dispatch<RouterTimer, Boolean> handlers =
                 Dispatch.<RouterTimer, Boolean>empty()
                         .on(RequestDeadline.class, due -> expire(world, due.request()))
-                        .on(ReserveWait.class, due -> giveUpReserve(world, due.request()))
+                        .on(
+                                ReserveWait.class,
+                                due -> giveUpReserve(world, due.request(), nowMillis))
                         .on(AttemptCheck.class, due -> check(world, due, nowMillis))
                         .on(HoldWait.class, due -> Settlements.held(world, due.key()));
         world.timers().takeDue(nowMillis).forEach(handlers::apply);
@@ -31,16 +33,20 @@
         return row.stage() == Stage.QUEUED ? ResultCode.OVERLOADED : ResultCode.DEADLINE_EXCEEDED;
     }
 
-    private static boolean giveUpReserve(RouterWorld world, RequestId id) {
+    private boolean giveUpReserve(RouterWorld world, RequestId id, long nowMillis) {
         Optional<RequestRow> row =
                 world.requests().find(id).filter(found -> found.stage() == Stage.RESERVING);
-        row.ifPresent(
-                found ->
-                        Outcomes.refuse(
-                                world, found, ResultCode.BUDGET_UNAVAILABLE, "keeper silent"));
+        row.flatMap(RequestRow::keeper).ifPresent(world.keepers()::remove);
+        row.ifPresent(found -> askAnother(world, found, nowMillis));
         return row.isPresent();
     }
 
+    private void askAnother(RouterWorld world, RequestRow row, long nowMillis) {
+        RequestId id = row.spec().id();
+        world.timers().set(new ReserveWait(id), nowMillis + limits.reserveMillis());
+        Admission.askKeeper(world, row);
+    }
+
     private boolean check(RouterWorld world, AttemptCheck due, long nowMillis) {
         Optional<AttemptRow> attempt = world.attempts().find(due.attempt());
         attempt.ifPresent(row -> check(world, row, nowMillis));
--- /dev/null
+++ b/ctl/src/main/java/org/bramleylatch/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Runs bramleylatchctl, the operators' command line. */
+package org.bramleylatch.ctl;
--- /dev/null
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -0,0 +1,109 @@
+package org.bramleylatch.edge;
+
+import io.smallrye.mutiny.subscription.Cancellable;
+import io.vertx.core.Vertx;
+import io.vertx.ext.web.client.WebClient;
+import java.util.List;
+import java.util.function.Consumer;
+import org.bramleylatch.core.Incarnation;
+import org.bramleylatch.core.LedgerCursor;
+import org.bramleylatch.core.LedgerFeed;
+import org.bramleylatch.core.LedgerImage;
+import org.bramleylatch.core.LogEntry;
+import org.bramleylatch.core.Numbered;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.wire.Address;
+import org.bramleylatch.wire.Json;
+import org.bramleylatch.wire.WireEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads the account stream into a world and appends the world's batches to it. */
+public final class AccountStream {
+    private static final Logger LOG = LoggerFactory.getLogger(AccountStream.class);
+    private static final long PEER_TIMEOUT_MILLIS = 2_000;
+
+    private final PlatformClient platform;
+    private final Incarnation self;
+    private final Consumer<LedgerFeed> world;
+    private final LedgerCursor cursor = LedgerCursor.atStart();
+    private boolean caughtUp;
+    private boolean askedPeers;
+
+    /** Makes a reader; nothing is read yet. */
+    public AccountStream(PlatformClient platform, Incarnation self, Consumer<LedgerFeed> world) {
+        this.platform = platform;
+        this.self = self;
+        this.world = world;
+    }
+
+    /** Returns true once the end of the stream was reached. */
+    public boolean isCaughtUp() {
+        return caughtUp;
+    }
+
+    /**
+     * Reads without end.
+     *
+     * @param peers keepers that are asked for their ledger while the platform can't be reached
+     */
+    public Cancellable follow(Vertx vertx, List<Address> peers) {
+        WebClient client = WebClient.create(vertx);
+        return new LogFollower(platform, Streams.ACCOUNTS)
+                .follow(cursor::readOffset, this::take, code -> failed(code, client, peers));
+    }
+
+    /** Appends a batch; a batch whose answer is lost is sent again by the world. */
+    public void append(List<Numbered> batch) {
+        List<String> lines = batch.stream().map(record -> WireEntry.encode(self, record)).toList();
+        long last = batch.get(batch.size() - 1).sequence();
+        platform.append(Streams.ACCOUNTS, lines)
+                .thenAccept(first -> world.accept(new LedgerFeed.AppendDone(last)))
+                .exceptionally(AccountStream::logLost);
+    }
+
+    private void take(LogPage page) {
+        List<LogEntry> entries = page.records().stream().map(AccountStream::decode).toList();
+        cursor.take(page.earliest(), entries).forEach(world);
+        caughtUp = caughtUp || !cursor.isScanning() && cursor.readOffset() >= page.next();
+    }
+
+    private void failed(ResultCode code, WebClient client, List<Address> peers) {
+        if (code == ResultCode.LOG_POSITION_EXPIRED) {
+            cursor.expired();
+        } else {
+            world.accept(new LedgerFeed.LogSeen(false));
+            askPeers(client, peers);
+        }
+    }
+
+    private void askPeers(WebClient client, List<Address> peers) {
+        if (!caughtUp && !askedPeers) {
+            askedPeers = true;
+            peers.forEach(peer -> askPeer(client, peer));
+        }
+    }
+
+    private void askPeer(WebClient client, Address peer) {
+        client.get(peer.port(), peer.ip(), "/ledger")
+                .timeout(PEER_TIMEOUT_MILLIS)
+                .send()
+                .map(answer -> Json.read(answer.bodyAsString(), LedgerImage.class))
+                .onSuccess(this::load)
+                .onFailure(failure -> LOG.info("peer {}: {}", peer, failure.getMessage()));
+    }
+
+    private void load(LedgerImage image) {
+        cursor.jumpTo(image.nextOffset());
+        world.accept(new LedgerFeed.SnapshotLoaded(image));
+    }
+
+    private static LogEntry decode(LogPage.Item item) {
+        return WireEntry.decode(item.o(), item.t(), item.d());
+    }
+
+    private static Void logLost(Throwable failure) {
+        LOG.info("append: {}", failure.getMessage());
+        return null;
+    }
+}
--- a/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
@@ -23,6 +23,7 @@
 
     private final PlatformClient platform;
     private final String stream;
+    private long waitMillis;
 
     /** Makes a follower; nothing is read yet. */
     public LogFollower(PlatformClient platform, String stream) {
@@ -48,7 +49,9 @@
                                                 stream,
                                                 nextOffset.getAsLong(),
                                                 MOST_RECORDS,
-                                                WAIT_MILLIS))
+                                                waitMillis))
+                        .onItem()
+                        .invoke(page -> waitMillis = WAIT_MILLIS)
                         .onItem()
                         .invoke(pages)
                         .onFailure()
--- a/edge/src/main/java/org/bramleylatch/edge/Timeline.java
+++ b/edge/src/main/java/org/bramleylatch/edge/Timeline.java
@@ -26,7 +26,7 @@
     private final Incarnation incarnation;
     private final Zone zone;
     private final InstantSource clock;
-    private final Lamport lamport;
+    private final HybridClock order;
     private final Optional<BufferedWriter> file;
 
     /**
@@ -41,13 +41,13 @@
             Incarnation incarnation,
             Zone zone,
             InstantSource clock,
-            Lamport lamport,
+            HybridClock order,
             Optional<String> file) {
         this.process = process;
         this.incarnation = incarnation;
         this.zone = zone;
         this.clock = clock;
-        this.lamport = lamport;
+        this.order = order;
         this.file = file.map(Timeline::open);
         this.file.ifPresent(writer -> vertx.setPeriodic(FLUSH_MILLIS, id -> flush()));
     }
@@ -64,7 +64,7 @@
 
     private void write(BufferedWriter writer, Event event) {
         TimelineLine line =
-                new TimelineLine(lamport.next(), clock.millis(), process, incarnation, zone, event);
+                new TimelineLine(order.next(), clock.millis(), process, incarnation, zone, event);
         try {
             writer.write(Json.write(line));
             writer.newLine();
--- /dev/null
+++ b/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
@@ -0,0 +1,122 @@
+package org.bramleylatch.keeper;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.grpc.server.GrpcServer;
+import io.vertx.grpc.server.GrpcServerRequest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.bramleylatch.core.Incarnation;
+import org.bramleylatch.core.KeeperInput;
+import org.bramleylatch.core.KeeperOutput;
+import org.bramleylatch.edge.FromKeeper;
+import org.bramleylatch.edge.Hello;
+import org.bramleylatch.edge.HybridClock;
+import org.bramleylatch.edge.KeeperProtocol;
+import org.bramleylatch.edge.ToKeeper;
+import org.bramleylatch.wire.Json;
+
+/** Serves the links of routers; each is one gRPC call with a stream each way. */
+final class RouterLinks {
+    private static final String GRPC_TYPE = "application/grpc";
+
+    private final Incarnation self;
+    private final HybridClock order;
+    private final Consumer<KeeperInput> world;
+    private final GrpcServer server;
+    private final Map<Incarnation, GrpcServerRequest<Buffer, Buffer>> links = new HashMap<>();
+
+    RouterLinks(Vertx vertx, Incarnation self, HybridClock order, Consumer<KeeperInput> world) {
+        this.self = self;
+        this.order = order;
+        this.world = world;
+        this.server = GrpcServer.server(vertx);
+        server.callHandler(KeeperProtocol.server(), this::accept);
+    }
+
+    /** Returns true if the request opens a link. */
+    boolean accepts(HttpServerRequest request) {
+        String type = request.getHeader("content-type");
+        return type != null && type.startsWith(GRPC_TYPE);
+    }
+
+    /** Opens a link. */
+    void handle(HttpServerRequest request) {
+        server.handle(request);
+    }
+
+    /** Sends a message to the router that it names; it is dropped if that router is gone. */
+    void send(KeeperOutput output) {
+        addressee(output)
+                .flatMap(router -> Optional.ofNullable(links.get(router)))
+                .ifPresent(link -> write(link, output));
+    }
+
+    private void write(GrpcServerRequest<Buffer, Buffer> link, KeeperOutput output) {
+        FromKeeper message = new FromKeeper(order.next(), output);
+        link.response().write(Buffer.buffer(Json.writeBytes(message)));
+    }
+
+    private void accept(GrpcServerRequest<Buffer, Buffer> call) {
+        Link link = new Link(call);
+        call.handler(link::take);
+        call.endHandler(end -> link.lose());
+        call.exceptionHandler(failure -> link.lose());
+    }
+
+    private static Optional<Incarnation> addressee(KeeperOutput output) {
+        if (output instanceof KeeperOutput.ReserveGranted message) {
+            return Optional.of(message.router());
+        } else if (output instanceof KeeperOutput.ReserveRefused message) {
+            return Optional.of(message.router());
+        } else if (output instanceof KeeperOutput.UsageHeld message) {
+            return Optional.of(message.router());
+        } else if (output instanceof KeeperOutput.UsageDurable message) {
+            return Optional.of(message.router());
+        } else if (output instanceof KeeperOutput.IntentWon message) {
+            return Optional.of(message.router());
+        } else if (output instanceof KeeperOutput.IntentLost message) {
+            return Optional.of(message.router());
+        } else if (output instanceof KeeperOutput.IntentRefused message) {
+            return Optional.of(message.router());
+        }
+        return Optional.empty();
+    }
+
+    /** Is one router's link. */
+    private final class Link {
+        private final GrpcServerRequest<Buffer, Buffer> call;
+        private Optional<Incarnation> router = Optional.empty();
+
+        Link(GrpcServerRequest<Buffer, Buffer> call) {
+            this.call = call;
+        }
+
+        void take(Buffer bytes) {
+            if (router.isEmpty()) {
+                greet(Json.read(bytes.toString(), Hello.class));
+            } else {
+                ToKeeper message = Json.read(bytes.toString(), ToKeeper.class);
+                order.seen(message.order());
+                world.accept(message.message());
+            }
+        }
+
+        void lose() {
+            router.filter(id -> links.remove(id, call))
+                    .map(KeeperInput.RouterLost::new)
+                    .ifPresent(world);
+        }
+
+        private void greet(Hello hello) {
+            order.seen(hello.order());
+            router = Optional.of(hello.incarnation());
+            links.put(hello.incarnation(), call);
+            Hello answer = new Hello(self, order.next());
+            call.response().write(Buffer.buffer(Json.writeBytes(answer)));
+        }
+    }
+}
--- /dev/null
+++ b/keeper/src/main/java/org/bramleylatch/keeper/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the keeper daemon. */
+package org.bramleylatch.keeper;
--- /dev/null
+++ b/router/src/main/java/org/bramleylatch/router/WholeAnswer.java
@@ -0,0 +1,55 @@
+package org.bramleylatch.router;
+
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.Map;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.RunState;
+import org.bramleylatch.edge.Problem;
+import org.bramleylatch.wire.Json;
+
+/** Answers a chat that is not streamed, or a service call, in one piece. */
+final class WholeAnswer extends Exchange {
+    private final String id;
+    private final String model;
+    private final StringBuilder text = new StringBuilder();
+
+    WholeAnswer(
+            HttpServerRequest request, String body, long arrivedMillis, String id, String model) {
+        super(request, body, arrivedMillis);
+        this.id = id;
+        this.model = model;
+    }
+
+    @Override
+    void tokens(String more) {
+        text.append(more);
+    }
+
+    @Override
+    void finish(String reason, long promptTokens, long answerTokens) {
+        Map<String, Object> message = Map.of("role", "assistant", "content", text.toString());
+        Map<String, Object> choice =
+                Map.of("index", 0, "message", message, "finish_reason", reason);
+        Map<String, Object> answer =
+                Map.of(
+                        "id",
+                        id,
+                        "object",
+                        "chat.completion",
+                        "created",
+                        arrivedMillis() / 1_000,
+                        "model",
+                        model,
+                        "choices",
+                        List.of(choice),
+                        "usage",
+                        Tokens.of(promptTokens, answerTokens));
+        response().putHeader("content-type", "application/json").end(Json.write(answer));
+    }
+
+    @Override
+    void refuse(ResultCode code, RunState ran, String detail) {
+        Problem.of(code, ran, detail).send(response());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bramleylatch/router/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the router daemon. */
+package org.bramleylatch.router;
--- a/wire/src/main/java/org/bramleylatch/wire/ConfigDocument.java
+++ b/wire/src/main/java/org/bramleylatch/wire/ConfigDocument.java
@@ -20,6 +20,9 @@
  * together. Every reader comes to the same verdict.
  */
 public final class ConfigDocument {
+    /** The revision of a section that was never accepted. */
+    public static final long NO_REVISION = -1;
+
     private static final String MEMBERS = "members";
     private static final String ROUTES = "routes";
     private static final Schema MEMBERS_SCHEMA = Schema.of("members.schema.json");
@@ -60,7 +63,7 @@
     /** Returns why the proposal would be refused now, or empty if it would be accepted. */
     public Optional<Verdict> check(ConfigRecord.SectionProposed proposal) {
         Optional<Section> current = section(proposal.section());
-        long revision = current.map(Section::revision).orElse(-1L);
+        long revision = current.map(Section::revision).orElse(NO_REVISION);
         if (current.filter(s -> !s.owner().equals(proposal.owner())).isPresent()) {
             String detail = proposal.section() + " belongs to " + current.get().owner();
             return Optional.of(Verdict.of(ResultCode.SECTION_OWNER_MISMATCH, detail));
--- a/wire/src/main/java/org/bramleylatch/wire/TimelineLine.java
+++ b/wire/src/main/java/org/bramleylatch/wire/TimelineLine.java
@@ -7,13 +7,8 @@
 /**
  * Is one line of the time line as a process writes it.
  *
- * @param lamport the causal order: greater than that of every line that could have caused this one
+ * @param order the causal order: greater than that of every line that could have caused this one
  * @param millis the wall clock, in milliseconds since the epoch; for people only
  */
 public record TimelineLine(
-        long lamport,
-        long millis,
-        String process,
-        Incarnation incarnation,
-        Zone zone,
-        Event event) {}
+        long order, long millis, String process, Incarnation incarnation, Zone zone, Event event) {}
