--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -1,6 +1,7 @@
 package org.bramleylatch.core;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.bramleylatch.core.KeeperInput.AttemptNoted;
 import org.bramleylatch.core.KeeperInput.EndpointReported;
 import org.bramleylatch.core.KeeperInput.FromLog;
@@ -15,6 +16,7 @@
 import org.bramleylatch.core.LedgerFeed.EntriesRead;
 import org.bramleylatch.core.LedgerFeed.LogSeen;
 import org.bramleylatch.core.LedgerFeed.SnapshotLoaded;
+import org.bramleylatch.core.ReservationRow.NotedAttempt;
 
 /** Puts what arrived into the keeper's tables. */
 record KeeperInbox(KeeperLimits limits) implements TickSystem<KeeperWorld> {
@@ -35,7 +37,7 @@
                     .on(ReserveAsked.class, this::reserve)
                     .on(AttemptNoted.class, this::noteAttempt)
                     .on(UsageGiven.class, this::hold)
-                    .on(ReservationReleased.class, ask -> Reservations.drop(world, ask.key()))
+                    .on(ReservationReleased.class, this::release)
                     .on(IntentAsked.class, this::claim)
                     .on(IntentEnded.class, this::finish)
                     .on(RouterLost.class, this::loseRouter)
@@ -61,7 +63,10 @@
                                         ask.router(), ask.key(), refusal.get()));
                 return false;
             }
-            Reservations.drop(world, ask.key());
+            Optional<ReservationRow> lost = world.reservations().find(ask.key());
+            if (lost.isPresent()) {
+                return adopt(ask, lost.get());
+            }
             world.waiting()
                     .put(
                             ask.key(),
@@ -74,6 +79,18 @@
             return world.touched().add(ask.budget());
         }
 
+        private boolean adopt(ReserveAsked ask, ReservationRow lost) {
+            world.reservations().put(ask.key(), lost.adoptedBy(ask.router()));
+            world.timers().clear(new KeeperTimer.OrphanRetry(ask.key()));
+            GrantKey grant = GrantKey.of(lost.budget(), world.self());
+            world.outbox().add(new KeeperOutput.ReserveGranted(ask.router(), ask.key(), grant));
+            return true;
+        }
+
+        private static NotedAttempt attempt(AttemptNoted note) {
+            return new NotedAttempt(note.attempt(), note.endpoint());
+        }
+
         private Optional<ResultCode> refusal(ReserveAsked ask) {
             if (world.isStopping()) {
                 return Optional.of(ResultCode.SHUTTING_DOWN);
@@ -90,7 +107,7 @@
         private boolean isHeldElsewhere(ReserveAsked ask) {
             return world.reservations()
                     .find(ask.key())
-                    .filter(row -> !row.orphaned() || row.tokens() > ask.tokens())
+                    .filter(row -> !row.orphaned() || row.tokens() != ask.tokens())
                     .isPresent();
         }
 
@@ -102,10 +119,15 @@
 
         private boolean noteAttempt(AttemptNoted note) {
             return world.reservations()
-                    .update(note.key(), row -> row.noted(note.attempt(), note.endpoint()))
+                    .update(note.key(), row -> row.noted(attempt(note)))
                     .isPresent();
         }
 
+        private boolean release(ReservationReleased released) {
+            Reservations.release(world, released.key(), nowMillis);
+            return true;
+        }
+
         private boolean hold(UsageGiven given) {
             RequestKey key = given.usage().key();
             world.outbox().add(new KeeperOutput.UsageHeld(given.router(), key));
@@ -161,7 +183,10 @@
         private boolean settleOrphan(EndpointReported report) {
             Optional<ReservationRow> row =
                     world.reservations().find(report.key()).filter(ReservationRow::orphaned);
-            if (row.isPresent() && report.tokens().isPresent()) {
+            boolean usedNothing = report.tokens().equals(OptionalLong.of(0));
+            if (usedNothing && row.flatMap(ReservationRow::lost).isPresent()) {
+                Reservations.release(world, report.key(), nowMillis);
+            } else if (row.isPresent() && report.tokens().isPresent()) {
                 long tokens = Math.min(report.tokens().getAsLong(), row.get().tokens());
                 GrantKey grant = GrantKey.of(row.get().budget(), world.self());
                 Usage usage = Usage.of(report.key(), tokens);
--- a/core/src/main/java/org/bramleylatch/core/ReservationRow.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservationRow.java
@@ -8,7 +8,7 @@
  * @param tokens the worst case
  * @param orphaned true if the router was lost and the endpoint is being asked
  * @param attempt the latest attempt that the router noted
- * @param endpoint where that attempt went
+ * @param lost the attempt of a router that was lost before the caller retried through this one
  */
 public record ReservationRow(
         RequestKey key,
@@ -16,8 +16,8 @@
         BudgetId budget,
         long tokens,
         boolean orphaned,
-        Optional<AttemptId> attempt,
-        Optional<EndpointId> endpoint) {
+        Optional<NotedAttempt> attempt,
+        Optional<NotedAttempt> lost) {
 
     /** Returns a reservation without an attempt. */
     public static ReservationRow of(
@@ -28,18 +28,26 @@
 
     /** Returns the reservation of a router that was lost. */
     public ReservationRow orphan() {
-        return new ReservationRow(key, router, budget, tokens, true, attempt, endpoint);
+        return new ReservationRow(key, router, budget, tokens, true, attempt, lost);
+    }
+
+    /** Returns the reservation for the attempt that was lost before the retry. */
+    public ReservationRow orphanOfLost() {
+        return new ReservationRow(key, router, budget, tokens, true, lost, Optional.empty());
+    }
+
+    /** Returns the reservation after the caller of a lost router retried through another one. */
+    public ReservationRow adoptedBy(Incarnation newRouter) {
+        return new ReservationRow(
+                key, newRouter, budget, tokens, false, Optional.empty(), attempt.or(() -> lost));
     }
 
     /** Returns the reservation with the attempt that is about to start. */
-    public ReservationRow noted(AttemptId newAttempt, EndpointId newEndpoint) {
+    public ReservationRow noted(NotedAttempt newAttempt) {
         return new ReservationRow(
-                key,
-                router,
-                budget,
-                tokens,
-                orphaned,
-                Optional.of(newAttempt),
-                Optional.of(newEndpoint));
+                key, router, budget, tokens, orphaned, Optional.of(newAttempt), lost);
     }
+
+    /** Is where an attempt of the request went. */
+    public record NotedAttempt(AttemptId id, EndpointId endpoint) {}
 }
--- a/core/src/main/java/org/bramleylatch/core/Reservations.java
+++ b/core/src/main/java/org/bramleylatch/core/Reservations.java
@@ -42,13 +42,28 @@
         world.note(EventKind.USAGE_HELD, usage.key(), detail);
     }
 
+    /**
+     * Gives back what a router did not use. If an attempt of a lost router came before, what that
+     * one used is billed.
+     */
+    static void release(KeeperWorld world, RequestKey key, long nowMillis) {
+        Optional<ReservationRow> retried =
+                world.reservations().find(key).filter(row -> row.lost().isPresent());
+        retried.ifPresentOrElse(
+                row -> putOrphan(world, row.orphanOfLost(), nowMillis), () -> drop(world, key));
+    }
+
     /** Keeps the reservation of a lost router until its endpoint has told what was used. */
     static void orphan(KeeperWorld world, ReservationRow row, long nowMillis) {
         if (row.attempt().isEmpty()) {
-            drop(world, row.key());
-            return;
+            release(world, row.key(), nowMillis);
+        } else {
+            putOrphan(world, row.orphan(), nowMillis);
         }
-        world.reservations().put(row.key(), row.orphan());
+    }
+
+    private static void putOrphan(KeeperWorld world, ReservationRow row, long nowMillis) {
+        world.reservations().put(row.key(), row);
         world.timers().set(new KeeperTimer.OrphanRetry(row.key()), nowMillis);
         String detail = "budget=" + row.budget() + " tokens=" + row.tokens();
         world.note(EventKind.RESERVATION_ORPHANED, row.key(), detail);
@@ -56,11 +71,8 @@
 
     /** Asks the endpoint of the noted attempt what was used, if there is one. */
     static void askEndpoint(KeeperWorld world, ReservationRow row) {
-        if (row.attempt().isPresent() && row.endpoint().isPresent()) {
-            world.outbox()
-                    .add(
-                            new KeeperOutput.AskEndpoint(
-                                    row.key(), row.attempt().get(), row.endpoint().get()));
-        }
+        row.attempt()
+                .map(noted -> new KeeperOutput.AskEndpoint(row.key(), noted.id(), noted.endpoint()))
+                .ifPresent(world.outbox()::add);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/LedgerCursorTest.java
@@ -0,0 +1,76 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LedgerCursorTest {
+    private static final Incarnation WRITER = Incarnation.of("writer");
+
+    private final LedgerCursor cursor = LedgerCursor.atStart();
+    private final List<LogEntry> log = new ArrayList<>();
+
+    @Test
+    void aCursorFollowsTheLogRecordByRecord() {
+        create(3);
+        assertThat(cursor.take(0, log)).hasSize(1);
+        assertThat(cursor.readOffset()).isEqualTo(3);
+    }
+
+    @Test
+    void recordsThatWereTakenBeforeAreNotTakenAgain() {
+        create(3);
+        cursor.take(0, log);
+        assertThat(cursor.take(0, log)).containsExactly(new LedgerFeed.LogSeen(true));
+    }
+
+    @Test
+    void anExpiredPositionIsReplacedByASnapshotAndNeverSkipped() {
+        create(4);
+        Ledger ledger = Ledger.empty();
+        log.forEach(LedgerFold.of(ledger)::apply);
+        SnapshotAssembly.split(ledger.image()).forEach(this::add);
+        create(2);
+        cursor.expired();
+        assertThat(cursor.readOffset()).isEqualTo(LedgerCursor.EARLIEST);
+        List<LedgerFeed> feeds = cursor.take(3, log.subList(3, log.size()));
+        assertThat(feeds).containsExactly(new LedgerFeed.SnapshotLoaded(ledger.image()));
+        assertThat(cursor.readOffset()).isEqualTo(4);
+    }
+
+    @Test
+    void aSnapshotWhoseTailIsGoneIsOfNoUse() {
+        create(4);
+        Ledger ledger = Ledger.empty();
+        log.forEach(LedgerFold.of(ledger)::apply);
+        SnapshotAssembly.split(ledger.image()).forEach(this::add);
+        cursor.expired();
+        assertThat(cursor.take(5, log.subList(4, log.size()))).isEmpty();
+        assertThat(cursor.isScanning()).isTrue();
+    }
+
+    @Test
+    void aSnapshotThatWasChangedOnItsWayIsOfNoUse() {
+        create(4);
+        Ledger ledger = Ledger.empty();
+        log.forEach(LedgerFold.of(ledger)::apply);
+        LedgerRecord.SnapshotPart part = SnapshotAssembly.split(ledger.image()).get(0);
+        add(
+                new LedgerRecord.SnapshotPart(
+                        part.nextOffset(), part.logMillis(), 0, 1, part.digest() + 1, part.rows()));
+        cursor.expired();
+        assertThat(cursor.take(0, log)).isEmpty();
+    }
+
+    private void create(int budgets) {
+        for (int index = 0; index < budgets; index++) {
+            add(new LedgerRecord.BudgetCreated(BudgetId.of("budget-" + log.size()), "w"));
+        }
+    }
+
+    private void add(LedgerRecord record) {
+        log.add(new LogEntry(log.size(), 0, WRITER, log.size() + 1, record));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/LogWriterTest.java
@@ -0,0 +1,62 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LogWriterTest {
+    private static final KeeperLimits LIMITS = KeeperLimits.standard();
+    private static final BudgetId BUDGET = BudgetId.of("budget");
+    private static final Incarnation KEEPER = Incarnation.of("keeper");
+
+    private final LogWriter writer = LogWriter.empty();
+
+    @Test
+    void aBatchWithoutAnAnswerIsSentAgainWithTheSameNumbers() {
+        writer.add(created("a"));
+        List<Numbered> first = writer.takeDue(0, LIMITS).orElseThrow();
+        assertThat(writer.takeDue(LIMITS.appendRetryMillis() - 1, LIMITS)).isEmpty();
+        assertThat(writer.takeDue(LIMITS.appendRetryMillis(), LIMITS)).contains(first);
+    }
+
+    @Test
+    void anAnsweredBatchIsNotSentAgain() {
+        writer.add(created("a"));
+        writer.takeDue(0, LIMITS);
+        writer.appended(1);
+        assertThat(writer.takeDue(10_000, LIMITS)).isEmpty();
+        assertThat(writer.isIdle()).isFalse();
+    }
+
+    @Test
+    void theNextBatchWaitsUntilTheOneInFlightWasReadBack() {
+        writer.add(created("a"));
+        writer.takeDue(0, LIMITS);
+        writer.appended(1);
+        writer.add(created("b"));
+        assertThat(writer.takeDue(10_000, LIMITS)).isEmpty();
+        writer.readBack(1);
+        assertThat(writer.takeDue(10_000, LIMITS).orElseThrow())
+                .containsExactly(new Numbered(2, created("b")));
+    }
+
+    @Test
+    void usageOfOneGrantGoesIntoOneRecord() {
+        writer.add(usage(1));
+        writer.add(created("a"));
+        writer.add(usage(2));
+        List<Numbered> batch = writer.takeDue(0, LIMITS).orElseThrow();
+        assertThat(batch).hasSize(2);
+        assertThat(((LedgerRecord.UsageReported) batch.get(0).record()).usages()).hasSize(2);
+    }
+
+    private static LedgerRecord created(String budget) {
+        return new LedgerRecord.BudgetCreated(BudgetId.of(budget), "workspace");
+    }
+
+    private static LedgerRecord usage(long key) {
+        Usage usage = Usage.of(RequestKey.of(1_700_000_000_000L, key), 1);
+        return new LedgerRecord.UsageReported(BUDGET, KEEPER, List.of(usage));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/RouterCase.java
@@ -0,0 +1,123 @@
+package org.bramleylatch.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Drives a router's world in virtual time; its keepers and endpoints are lists of messages. */
+final class RouterCase {
+    static final Zone ZONE = Zone.of("langnau");
+    static final Incarnation KEEPER = Incarnation.of("keeper-1");
+    static final Incarnation OTHER_KEEPER = Incarnation.of("keeper-2");
+    static final BudgetId BUDGET = BudgetId.of("budget");
+    static final GrantKey GRANT = GrantKey.of(BUDGET, KEEPER);
+    static final RouteRow CHAT = RouteRow.chat(RouteName.of("chat"), "seilhelfer-1", "seilhelfer");
+    static final RouteRow BOOKING =
+            new RouteRow(
+                    RouteName.of("bookings"),
+                    RouteKind.SERVICE,
+                    "/bookings",
+                    "ordnerei",
+                    false,
+                    0,
+                    List.of());
+
+    private static final long TIMEOUT_MILLIS = 60_000;
+
+    final RouterWorld world;
+    private final Schedule<RouterWorld> schedule =
+            RouterSystems.schedule(Placement.byAffinity(), RouterLimits.standard());
+    private final List<RouterOutput> outputs = new ArrayList<>();
+    private long nowMillis = 1_700_000_000_000L;
+    private long count;
+
+    RouterCase() {
+        world = RouterWorld.of(Incarnation.of("router"), ZONE, this::nextAttempt);
+        put(new RouterInput.KeeperUp(KEEPER));
+    }
+
+    RouterCase endpoints(String... names) {
+        put(
+                new RouterInput.EndpointsListed(
+                        List.of(names).stream().map(RouterCase::endpoint).toList()));
+        return this;
+    }
+
+    /** Lets a request arrive and returns its key. */
+    RequestKey arrive(RouteRow route, long promptTokens, long mostTokens) {
+        count++;
+        return arrive(route, promptTokens, mostTokens, RequestKey.of(nowMillis, count), true);
+    }
+
+    RequestKey arrive(RouteRow route, long prompt, long most, RequestKey key, boolean given) {
+        count++;
+        put(
+                new RouterInput.RequestArrived(
+                        new RequestSpec(
+                                RequestId.of("request-" + count),
+                                key,
+                                given,
+                                BUDGET,
+                                route,
+                                prompt,
+                                most,
+                                7,
+                                nowMillis + TIMEOUT_MILLIS)));
+        return key;
+    }
+
+    /** Lets a chat arrive, sets its tokens aside and returns its running attempt. */
+    AttemptId running(long promptTokens, long mostTokens) {
+        RequestKey key = arrive(CHAT, promptTokens, mostTokens);
+        put(new RouterInput.ReserveGranted(KEEPER, key, GRANT));
+        return last(RouterOutput.StartAttempt.class).orElseThrow().attempt();
+    }
+
+    void tokens(AttemptId attempt, long position) {
+        put(new RouterInput.TokensArrived(attempt, position, 1, "word "));
+    }
+
+    void put(RouterInput input) {
+        world.inbox().add(input);
+        tick();
+    }
+
+    void advance(long millis) {
+        nowMillis += millis;
+        tick();
+    }
+
+    <T extends RouterOutput> List<T> all(Class<T> type) {
+        return outputs.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    <T extends RouterOutput> Optional<T> last(Class<T> type) {
+        return all(type).stream().reduce((first, second) -> second);
+    }
+
+    <T extends KeeperInput> List<T> toKeepers(Class<T> type) {
+        return all(RouterOutput.ToKeeper.class).stream()
+                .map(RouterOutput.ToKeeper::message)
+                .filter(type::isInstance)
+                .map(type::cast)
+                .toList();
+    }
+
+    static EndpointRow endpoint(String name) {
+        String backEnd = name.startsWith("ordnerei") ? "ordnerei" : "seilhelfer";
+        long memory = backEnd.equals("ordnerei") ? 0 : 10_000;
+        return EndpointRow.of(EndpointId.of(name), backEnd, ZONE, Version.of("v1"), memory);
+    }
+
+    private void tick() {
+        do {
+            schedule.tick(world, nowMillis);
+            outputs.addAll(world.outbox().take(Integer.MAX_VALUE));
+        } while (!world.inbox().isEmpty());
+    }
+
+    private AttemptId nextAttempt() {
+        count++;
+        return AttemptId.of("attempt-" + count);
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/bramleylatch/wire/ConfigDocumentTest.java
@@ -0,0 +1,81 @@
+package org.bramleylatch.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.bramleylatch.core.RequestKey;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.wire.ConfigRecord.SectionProposed;
+import org.junit.jupiter.api.Test;
+
+class ConfigDocumentTest {
+    private static final String ROUTE =
+            "{\"name\":\"chat\",\"kind\":\"CHAT\",\"selector\":\"m\",\"backEnd\":\"seilhelfer\","
+                    + "\"repeatable\":true,\"costTokens\":0,\"shares\":[]}";
+
+    private final ConfigDocument document = ConfigDocument.empty();
+    private long offset;
+
+    @Test
+    void anAcceptedSectionIsInForceAtItsOffset() {
+        assertThat(propose("routes", ConfigDocument.NO_REVISION, "ops", "[" + ROUTE + "]"))
+                .isEmpty();
+        assertThat(document.configuration().revision()).isZero();
+        assertThat(document.configuration().chatRoute("m")).isPresent();
+    }
+
+    @Test
+    void ofTwoOperatorsThatRaceTheSecondIsToldTheWinnersRevision() {
+        propose("routes", ConfigDocument.NO_REVISION, "ops", "[" + ROUTE + "]");
+        Optional<ConfigDocument.Verdict> late =
+                propose("routes", ConfigDocument.NO_REVISION, "ops", "[]");
+        assertThat(late.map(ConfigDocument.Verdict::code)).contains(ResultCode.REVISION_CONFLICT);
+        assertThat(late.orElseThrow().detail()).contains("revision 0");
+        assertThat(document.configuration().routes()).hasSize(1);
+    }
+
+    @Test
+    void aSectionIsChangedByItsOwnerOnly() {
+        propose("routes", ConfigDocument.NO_REVISION, "ops", "[" + ROUTE + "]");
+        assertThat(propose("routes", 0, "others", "[]").map(ConfigDocument.Verdict::code))
+                .contains(ResultCode.SECTION_OWNER_MISMATCH);
+    }
+
+    @Test
+    void aFaultIsNamedWithItsPlace() {
+        String wrong = "[" + ROUTE.replace("true", "\"yes\"") + "]";
+        Optional<ConfigDocument.Verdict> verdict =
+                propose("routes", ConfigDocument.NO_REVISION, "ops", wrong);
+        assertThat(verdict.orElseThrow().code()).isEqualTo(ResultCode.CONFIGURATION_INVALID);
+        assertThat(verdict.orElseThrow().detail()).contains("routes", "/0/repeatable");
+    }
+
+    @Test
+    void aRuleOfTheWholeDocumentIsHeld() {
+        String twice = "[" + ROUTE + "," + ROUTE + "]";
+        assertThat(propose("routes", ConfigDocument.NO_REVISION, "ops", twice))
+                .map(ConfigDocument.Verdict::detail)
+                .hasValueSatisfying(detail -> assertThat(detail).contains("stands twice"));
+    }
+
+    @Test
+    void aRepeatedProposalCountsOnce() {
+        SectionProposed proposal = proposal("routes", -1, "ops", "[" + ROUTE + "]");
+        document.apply(0, proposal);
+        assertThat(document.apply(1, proposal).map(ConfigDocument.Verdict::code))
+                .contains(ResultCode.RECORD_REPEATED);
+    }
+
+    private Optional<ConfigDocument.Verdict> propose(
+            String section, long revision, String owner, String content) {
+        Optional<ConfigDocument.Verdict> verdict =
+                document.apply(offset, proposal(section, revision, owner, content));
+        offset++;
+        return verdict;
+    }
+
+    private SectionProposed proposal(String section, long revision, String owner, String content) {
+        return new SectionProposed(
+                section, revision, owner, RequestKey.of(offset, offset), Json.readTree(content));
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/bramleylatch/wire/WireEntryTest.java
@@ -0,0 +1,52 @@
+package org.bramleylatch.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.bramleylatch.core.BudgetId;
+import org.bramleylatch.core.BudgetRow;
+import org.bramleylatch.core.Incarnation;
+import org.bramleylatch.core.LedgerImage;
+import org.bramleylatch.core.LedgerRecord;
+import org.bramleylatch.core.LogEntry;
+import org.bramleylatch.core.Numbered;
+import org.bramleylatch.core.RequestKey;
+import org.bramleylatch.core.RunState;
+import org.bramleylatch.core.Usage;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class WireEntryTest {
+    private static final Incarnation WRITER = Incarnation.of("keeper@vm-1");
+    private static final BudgetId BUDGET = BudgetId.of("budget");
+    private static final RequestKey KEY = RequestKey.of(1_700_000_000_000L, 77);
+
+    @ParameterizedTest
+    @MethodSource("records")
+    void aRecordIsReadAsItWasWritten(LedgerRecord record) {
+        String text = WireEntry.encode(WRITER, new Numbered(5, record));
+        assertThat(WireEntry.decode(9, 13, text)).isEqualTo(new LogEntry(9, 13, WRITER, 5, record));
+    }
+
+    static List<LedgerRecord> records() {
+        return List.of(
+                new LedgerRecord.BudgetCreated(BUDGET, "workspace"),
+                new LedgerRecord.BudgetToppedUp(BUDGET, KEY, 100),
+                new LedgerRecord.GrantAsked(BUDGET, WRITER, 10, 5, 1_000),
+                new LedgerRecord.UsageReported(BUDGET, WRITER, List.of(Usage.of(KEY, 3))),
+                new LedgerRecord.GrantReturned(BUDGET, WRITER, 4),
+                new LedgerRecord.HolderFrozen(WRITER),
+                new LedgerRecord.FrozenReleased(BUDGET, WRITER, "operators"),
+                new LedgerRecord.IntentDeclared(KEY, WRITER, BUDGET),
+                new LedgerRecord.IntentFinished(KEY, WRITER, RunState.RAN, 201, "{\"a\":1}"),
+                new LedgerRecord.SnapshotPart(
+                        7,
+                        8,
+                        0,
+                        1,
+                        9,
+                        List.of(
+                                new LedgerImage.BudgetPart(BudgetRow.of(BUDGET).paid(5)),
+                                new LedgerImage.KeyPart(KEY))));
+    }
+}
