--- a/bench/src/main/java/org/bramleylatch/bench/Deployment.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Deployment.java
@@ -109,8 +109,13 @@
 
     /** Starts a keeper in the zone. */
     public Deployment withKeeper(String name, String zone) {
+        return withKeeper(name, zone, "");
+    }
+
+    /** Starts a keeper in the zone with further settings, each behind a comma. */
+    public Deployment withKeeper(String name, String zone, String more) {
         Address address = addressOf(name);
-        String settings = settings(name, zone, address, List.of()) + "}";
+        String settings = settings(name, zone, address, List.of()) + more + "}";
         start(name, KeeperMain.class, settingsFile(name, settings));
         return this;
     }
--- /dev/null
+++ b/bench/src/main/java/org/bramleylatch/bench/SseClient.java
@@ -0,0 +1,80 @@
+package org.bramleylatch.bench;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
+import org.bramleylatch.wire.Address;
+
+/** Sends chats and notes when each token of the answer comes. */
+final class SseClient {
+    private static final int MOST_CONNECTIONS = 20_000;
+    private static final String DATA = "data: ";
+    private static final String DONE = "data: [DONE]";
+
+    private final HttpClient client;
+
+    SseClient(Vertx vertx) {
+        client =
+                vertx.createHttpClient(
+                        new HttpClientOptions().setTcpNoDelay(true),
+                        new PoolOptions()
+                                .setHttp1MaxSize(MOST_CONNECTIONS)
+                                .setMaxWaitQueueSize(MOST_CONNECTIONS));
+    }
+
+    /**
+     * Sends a chat.
+     *
+     * @param tokenNanos gets the time of each event but the end marker
+     * @return the outcome, once the answer has ended
+     */
+    CompletableFuture<Outcome> chat(
+            Address to, Map<String, String> headers, String body, LongConsumer tokenNanos) {
+        RequestOptions options =
+                new RequestOptions()
+                        .setHost(to.ip())
+                        .setPort(to.port())
+                        .setMethod(HttpMethod.POST)
+                        .setURI("/v1/chat/completions");
+        headers.forEach(options::putHeader);
+        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        client.request(options)
+                .compose(request -> request.send(Buffer.buffer(body)))
+                .onSuccess(response -> read(response, tokenNanos, outcome))
+                .onFailure(failure -> outcome.complete(new Outcome(0, false)));
+        return outcome;
+    }
+
+    private static void read(
+            HttpClientResponse response,
+            LongConsumer tokenNanos,
+            CompletableFuture<Outcome> outcome) {
+        boolean[] whole = new boolean[1];
+        RecordParser lines =
+                RecordParser.newDelimited(
+                        "\n",
+                        (Buffer line) -> {
+                            String text = line.toString();
+                            whole[0] |= text.equals(DONE);
+                            if (text.startsWith(DATA) && !text.equals(DONE)) {
+                                tokenNanos.accept(System.nanoTime());
+                            }
+                        });
+        response.handler(lines);
+        response.exceptionHandler(
+                failure -> outcome.complete(new Outcome(response.statusCode(), false)));
+        response.endHandler(end -> outcome.complete(new Outcome(response.statusCode(), whole[0])));
+    }
+
+    /** Tells how a chat ended. */
+    record Outcome(int status, boolean whole) {}
+}
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -124,10 +124,14 @@
         }
 
         private boolean release(ReservationReleased released) {
-            Reservations.release(world, released.key(), nowMillis);
+            Reservations.release(world, released.key(), graceEndMillis());
             return true;
         }
 
+        private long graceEndMillis() {
+            return nowMillis + limits.retryGraceMillis();
+        }
+
         private boolean hold(UsageGiven given) {
             RequestKey key = given.usage().key();
             world.outbox().add(new KeeperOutput.UsageHeld(given.router(), key));
@@ -176,7 +180,7 @@
                     .forEach(row -> Reservations.drop(world, row.key()));
             world.reservations()
                     .where(row -> row.router().equals(lost.router()))
-                    .forEach(row -> Reservations.orphan(world, row, nowMillis));
+                    .forEach(row -> Reservations.orphan(world, row, graceEndMillis()));
             return true;
         }
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -7,6 +7,7 @@
  * @param intentWaitMillis how long a request may wait for its claim to be read back
  * @param appendIntervalMillis the least time between two appends
  * @param appendRetryMillis how long to wait after an append whose answer is unknown
+ * @param retryGraceMillis how long the caller of a lost router may take to retry
  * @param orphanRetryMillis how long to wait before an endpoint is asked again
  * @param reviewMillis how often every holding is looked at
  * @param mostRecords the most records in one append
@@ -17,6 +18,7 @@
         long intentWaitMillis,
         long appendIntervalMillis,
         long appendRetryMillis,
+        long retryGraceMillis,
         long orphanRetryMillis,
         long reviewMillis,
         int mostRecords,
@@ -24,7 +26,7 @@
 
     /** Returns the limits for the sizes of today. */
     public static KeeperLimits standard() {
-        return new KeeperLimits(1_500, 2_000, 50, 250, 1_000, 5_000, 500, 20_000);
+        return new KeeperLimits(1_500, 2_000, 50, 250, 30_000, 1_000, 5_000, 500, 20_000);
     }
 
     /** Returns the limits with another distance between snapshots. */
@@ -34,9 +36,24 @@
                 intentWaitMillis,
                 appendIntervalMillis,
                 appendRetryMillis,
+                retryGraceMillis,
                 orphanRetryMillis,
                 reviewMillis,
                 mostRecords,
                 records);
     }
+
+    /** Returns the limits with another time for callers to retry, in milliseconds. */
+    public KeeperLimits withRetryGrace(long millis) {
+        return new KeeperLimits(
+                reserveWaitMillis,
+                intentWaitMillis,
+                appendIntervalMillis,
+                appendRetryMillis,
+                millis,
+                orphanRetryMillis,
+                reviewMillis,
+                mostRecords,
+                snapshotEveryRecords);
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/Reservations.java
+++ b/core/src/main/java/org/bramleylatch/core/Reservations.java
@@ -46,25 +46,29 @@
      * Gives back what a router did not use. If an attempt of a lost router came before, what that
      * one used is billed.
      */
-    static void release(KeeperWorld world, RequestKey key, long nowMillis) {
+    static void release(KeeperWorld world, RequestKey key, long askMillis) {
         Optional<ReservationRow> retried =
                 world.reservations().find(key).filter(row -> row.lost().isPresent());
         retried.ifPresentOrElse(
-                row -> putOrphan(world, row.orphanOfLost(), nowMillis), () -> drop(world, key));
+                row -> putOrphan(world, row.orphanOfLost(), askMillis), () -> drop(world, key));
     }
 
-    /** Keeps the reservation of a lost router until its endpoint has told what was used. */
-    static void orphan(KeeperWorld world, ReservationRow row, long nowMillis) {
+    /**
+     * Keeps the reservation of a lost router until its endpoint has told what was used.
+     *
+     * @param askMillis when the endpoint is asked, unless the caller has retried by then
+     */
+    static void orphan(KeeperWorld world, ReservationRow row, long askMillis) {
         if (row.attempt().isEmpty()) {
-            release(world, row.key(), nowMillis);
+            release(world, row.key(), askMillis);
         } else {
-            putOrphan(world, row.orphan(), nowMillis);
+            putOrphan(world, row.orphan(), askMillis);
         }
     }
 
-    private static void putOrphan(KeeperWorld world, ReservationRow row, long nowMillis) {
+    private static void putOrphan(KeeperWorld world, ReservationRow row, long askMillis) {
         world.reservations().put(row.key(), row);
-        world.timers().set(new KeeperTimer.OrphanRetry(row.key()), nowMillis);
+        world.timers().set(new KeeperTimer.OrphanRetry(row.key()), askMillis);
         String detail = "budget=" + row.budget() + " tokens=" + row.tokens();
         world.note(EventKind.RESERVATION_ORPHANED, row.key(), detail);
     }
--- a/wire/src/main/java/org/bramleylatch/wire/Settings.java
+++ b/wire/src/main/java/org/bramleylatch/wire/Settings.java
@@ -17,6 +17,7 @@
  * @param mostBodyBytes the largest body of a request
  * @param adminKeys who may change what; for the administration API
  * @param snapshotEveryRecords how many records lie between two snapshots; for keepers
+ * @param retryGraceMillis how long the caller of a lost router may take to retry; for keepers
  * @param horizonHours for how long a keeper should be able to serve while cut off
  * @param smallestGrantTokens the smallest amount worth asking for
  */
@@ -30,11 +31,13 @@
         int mostBodyBytes,
         List<AdminKey> adminKeys,
         int snapshotEveryRecords,
+        long retryGraceMillis,
         double horizonHours,
         long smallestGrantTokens) {
     private static final Schema SCHEMA = Schema.of("settings.schema.json");
     private static final int MOST_BODY_BYTES = 4 * 1024 * 1024;
     private static final int SNAPSHOT_EVERY_RECORDS = 20_000;
+    private static final long RETRY_GRACE_MILLIS = 30_000;
     private static final double HORIZON_HOURS = 2;
     private static final long SMALLEST_GRANT_TOKENS = 4_000;
 
@@ -46,6 +49,7 @@
         adminKeys = adminKeys == null ? List.of() : List.copyOf(adminKeys);
         snapshotEveryRecords =
                 snapshotEveryRecords == 0 ? SNAPSHOT_EVERY_RECORDS : snapshotEveryRecords;
+        retryGraceMillis = retryGraceMillis == 0 ? RETRY_GRACE_MILLIS : retryGraceMillis;
         horizonHours = horizonHours == 0 ? HORIZON_HOURS : horizonHours;
         smallestGrantTokens =
                 smallestGrantTokens == 0 ? SMALLEST_GRANT_TOKENS : smallestGrantTokens;
