--- a/bench/src/main/java/org/bramleylatch/bench/SseClient.java
+++ b/bench/src/main/java/org/bramleylatch/bench/SseClient.java
@@ -54,6 +54,17 @@
         return outcome;
     }
 
+    /** Sends a GET and returns its status once the answer is whole. */
+    CompletableFuture<Integer> get(Address from, String path) {
+        RequestOptions options =
+                new RequestOptions().setHost(from.ip()).setPort(from.port()).setURI(path);
+        return client.request(options)
+                .compose(request -> request.send())
+                .compose(response -> response.body().map(body -> response.statusCode()))
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
     private static void read(
             HttpClientResponse response,
             LongConsumer tokenNanos,
--- a/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
@@ -26,10 +26,8 @@
     static GrantPolicy equalSplit(int holders) {
         return view -> {
             long share = view.budget().paidTokens() / holders;
-            long had = view.ownOpenTokens();
-            return had == 0 || view.budget().freeTokens() >= share
-                    ? GrantPlan.ask(Math.min(share, view.budget().freeTokens()))
-                    : GrantPlan.keep();
+            long missing = share - view.ownOpenTokens() - view.ownSettledTokens();
+            return GrantPlan.ask(Math.min(missing, view.budget().freeTokens()));
         };
     }
 
--- a/core/src/main/java/org/bramleylatch/core/GrantView.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantView.java
@@ -30,6 +30,11 @@
         return grants.stream().filter(this::isOwn).mapToLong(GrantRow::openTokens).sum();
     }
 
+    /** Returns the tokens that were billed against this keeper's grant. */
+    public long ownSettledTokens() {
+        return grants.stream().filter(this::isOwn).mapToLong(GrantRow::settledTokens).sum();
+    }
+
     /** Returns the tokens that other holders' requests wait for. */
     public long wantedByOthersTokens() {
         return grants.stream()
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -147,7 +147,7 @@
             return Optional.of(ResultCode.USAGE_OVER_GRANT);
         }
         ledger.settledKeys().add(usage.key());
-        ledger.grants().update(key, grant -> grant.less(usage.tokens()));
+        ledger.grants().update(key, grant -> grant.settled(usage.tokens()));
         ledger.budgets().update(key.budget(), row -> row.settled(usage.tokens()));
         return ACCEPTED;
     }
@@ -181,7 +181,7 @@
     }
 
     private void close(GrantRow grant, long tokens) {
-        GrantRow after = grant.less(tokens);
+        GrantRow after = grant.returned(tokens);
         if (after.openTokens() == 0 && after.wantedTokens() == 0) {
             ledger.removeGrant(grant.key());
         } else {
