--- a/bench/src/main/java/org/bramleylatch/bench/Deployment.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Deployment.java
@@ -76,6 +76,22 @@
         return this;
     }
 
+    /** Tells the platform how many tokens an engine can hold; call before it is started. */
+    public Deployment withMemory(String name, long tokens) {
+        vms.replaceAll(
+                vm ->
+                        vm.id().value().equals(name)
+                                ? vm(
+                                        name,
+                                        vm.backEnd(),
+                                        vm.zone().value(),
+                                        addresses.get(name),
+                                        vm.version().value(),
+                                        tokens)
+                                : vm);
+        return this;
+    }
+
     /** Adds a plain service to the zone; call before the platform is started. */
     public Deployment withService(String name, String zone) {
         Address address = reserve(name);
@@ -169,9 +185,21 @@
 
     /** Sends a signal to a process that this deployment started. */
     public void signal(String name, String signal) {
+        command("kill", "-" + signal, Long.toString(processes.get(name).pid()));
+    }
+
+    /** Lets the JVM of a process collect its garbage. */
+    public void collectGarbage(String name) {
+        String jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+        command(jcmd, Long.toString(processes.get(name).pid()), "GC.run");
+    }
+
+    private static void command(String... words) {
         try {
-            long id = processes.get(name).pid();
-            new ProcessBuilder("kill", "-" + signal, Long.toString(id)).start().waitFor();
+            new ProcessBuilder(words)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .start()
+                    .waitFor();
         } catch (IOException unavailable) {
             throw new UncheckedIOException(unavailable);
         } catch (InterruptedException interrupted) {
--- a/bench/src/main/java/org/bramleylatch/bench/GrantRun.java
+++ b/bench/src/main/java/org/bramleylatch/bench/GrantRun.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.bramleylatch.core.BudgetId;
 import org.bramleylatch.core.GrantPolicy;
 import org.bramleylatch.core.GrantRow;
@@ -48,6 +50,7 @@
     private final Map<Zone, List<FakeKeeper>> keepers = new HashMap<>();
     private final Map<RequestKey, Long> worst = new HashMap<>();
     private final Map<RequestKey, BudgetId> budgets = new HashMap<>();
+    private final Set<RequestKey> arrivedInCut = new HashSet<>();
     private final List<Zone> zones = new ArrayList<>();
     private final Zone cutZone;
     private boolean cut;
@@ -139,6 +142,9 @@
         long tokens = 2 * actual(key);
         worst.put(key, tokens);
         budgets.put(key, budget);
+        if (cut) {
+            arrivedInCut.add(key);
+        }
         KeeperInput ask =
                 new KeeperInput.ReserveAsked(Incarnation.of("router"), key, budget, tokens);
         keeper(zone, budget).deliver(ask);
@@ -177,7 +183,7 @@
         long left = books.paidTokens(budget) - books.boundTokens(budget);
         if (left < worst.get(refused.key())) {
             trueRefusals++;
-        } else if (cut) {
+        } else if (arrivedInCut.contains(refused.key())) {
             falseCut++;
         } else if (killed) {
             falseKilled++;
--- /dev/null
+++ b/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
@@ -0,0 +1,174 @@
+package org.bramleylatch.bench;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.Histogram;
+import org.bramleylatch.wire.Address;
+
+/**
+ * Measures what a router holds: its heap for streams whose callers read, and for callers that do
+ * not read at all, and what the latter do to callers that read.
+ */
+public final class HoldMain {
+    private static final long PAID_TOKENS = 1_000_000_000_000L;
+    private static final int[] STREAMS = {0, 500, 1_000, 2_000};
+    private static final int[] SLOW = {0, 500, 2_000};
+    private static final int FAST = 50;
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+    private static final int MOST_CONNECTIONS = 10_000;
+    private static final long OPEN_MILLIS = 60_000;
+    private static final long FILL_MILLIS = 12_000;
+    private static final double BYTES_PER_MIB = 1024 * 1024;
+    private static final String LONG_CHAT = Documents.chat(1, 100_000, true);
+
+    private final HttpClient client =
+            Vertx.vertx()
+                    .createHttpClient(
+                            new HttpClientOptions().setReceiveBufferSize(RECEIVE_BUFFER_BYTES),
+                            new PoolOptions()
+                                    .setHttp1MaxSize(MOST_CONNECTIONS)
+                                    .setMaxWaitQueueSize(MOST_CONNECTIONS));
+
+    private HoldMain() {}
+
+    /** Runs both measurements; the only argument names the folder for the files. */
+    public static void main(String[] arguments) throws IOException {
+        Path folder = Files.createDirectories(Path.of(arguments[0]));
+        for (int count : STREAMS) {
+            new HoldMain().holdStreams(folder, count);
+        }
+        for (int count : SLOW) {
+            new HoldMain().holdSlowReaders(folder, count);
+        }
+        System.exit(0);
+    }
+
+    private void holdStreams(Path folder, int count) {
+        try (Deployment deployment = deployment(folder, "1000", "0")) {
+            List<HttpClientResponse> open = open(deployment.address("router"), count, false);
+            System.out.printf(
+                    "%d open streams: router heap %.1f MiB%n",
+                    open.size(), heapBytes(deployment) / BYTES_PER_MIB);
+        }
+    }
+
+    private void holdSlowReaders(Path folder, int count) {
+        try (Deployment deployment = deployment(folder, "50", "1000")) {
+            Address router = deployment.address("router");
+            open(router, count, true);
+            Histogram gaps = new Histogram(3);
+            List<HttpClientResponse> fast = open(router, FAST, false);
+            pause(FILL_MILLIS);
+            fast.forEach(response -> record(response, gaps));
+            pause(FILL_MILLIS);
+            System.out.printf(
+                    "%d slow readers: router heap %.1f MiB, fast readers between tokens p50 %.1f ms"
+                            + " p95 %.1f ms, engine holds %s%n",
+                    count,
+                    heapBytes(deployment) / BYTES_PER_MIB,
+                    gaps.getValueAtPercentile(50) / 1e6,
+                    gaps.getValueAtPercentile(95) / 1e6,
+                    deployment.caller("engine").get("/load").body());
+        }
+    }
+
+    private static Deployment deployment(Path folder, String stepMillis, String wordBytes) {
+        Deployment deployment =
+                Deployment.in(folder, List.of("-Xmx256m", "-XX:+UseSerialGC"))
+                        .withEngine(
+                                "engine",
+                                "langnau",
+                                "v1",
+                                "--step-millis",
+                                stepMillis,
+                                "--word-bytes",
+                                wordBytes,
+                                "--memory-tokens",
+                                "1000000000");
+        deployment
+                .withMemory("engine", 1_000_000_000)
+                .withPlatform()
+                .withAdmin("langnau")
+                .withKeeper("keeper", "langnau")
+                .withRouter("router", "langnau", "keeper");
+        deployment.awaitReady("admin", "keeper");
+        deployment.publish(PAID_TOKENS);
+        deployment.awaitReady("router");
+        return deployment;
+    }
+
+    private List<HttpClientResponse> open(Address to, int count, boolean paused) {
+        List<CompletableFuture<HttpClientResponse>> opening = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            opening.add(open(to, paused));
+        }
+        List<HttpClientResponse> open = new ArrayList<>();
+        opening.forEach(response -> open.add(response.join()));
+        return open;
+    }
+
+    private CompletableFuture<HttpClientResponse> open(Address to, boolean paused) {
+        RequestOptions options =
+                new RequestOptions()
+                        .setHost(to.ip())
+                        .setPort(to.port())
+                        .setMethod(HttpMethod.POST)
+                        .setURI("/v1/chat/completions")
+                        .setIdleTimeout(OPEN_MILLIS * 10)
+                        .putHeader("x-timeout-millis", Long.toString(OPEN_MILLIS * 10))
+                        .putHeader("authorization", "Bearer " + Deployment.MEMBER_KEY);
+        return client.request(options)
+                .compose(request -> request.send(LONG_CHAT))
+                .map(response -> begin(response, paused))
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    private static HttpClientResponse begin(HttpClientResponse response, boolean paused) {
+        if (response.statusCode() != 200) {
+            throw new IllegalStateException("status " + response.statusCode());
+        }
+        response.handler(bytes -> {});
+        return paused ? (HttpClientResponse) response.pause() : response;
+    }
+
+    private static void record(HttpClientResponse response, Histogram gaps) {
+        AtomicLong lastNanos = new AtomicLong(System.nanoTime());
+        response.handler(
+                bytes -> {
+                    long now = System.nanoTime();
+                    gaps.recordValue(now - lastNanos.getAndSet(now));
+                });
+    }
+
+    private static long heapBytes(Deployment deployment) {
+        deployment.collectGarbage("router");
+        String metrics = deployment.caller("router").get("/metrics").body();
+        return (long)
+                metrics.lines()
+                        .filter(line -> line.startsWith("jvm_memory_used_bytes{area=\"heap\"}"))
+                        .mapToDouble(line -> Double.parseDouble(line.split(" ")[1]))
+                        .findFirst()
+                        .orElseThrow();
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -21,7 +21,9 @@
     private void place(RouterWorld world, RequestRow row, long nowMillis) {
         List<EndpointRow> open = world.candidates(row, nowMillis);
         if (open.isEmpty()) {
-            Outcomes.refuse(world, row, ResultCode.NO_ENDPOINT, "no open endpoint");
+            ResultCode code =
+                    row.position() > 0 ? ResultCode.ANSWER_INCOMPLETE : ResultCode.NO_ENDPOINT;
+            Outcomes.refuse(world, row, code, "no open endpoint");
             return;
         }
         long need = row.spec().worstCaseTokens();
@@ -36,7 +38,7 @@
         RequestSpec spec = row.spec();
         long need = spec.worstCaseTokens();
         world.queued().remove(spec.id());
-        world.requests().put(spec.id(), row.started(attempt));
+        world.requests().put(spec.id(), row.started(attempt, endpoint.id()));
         world.attempts()
                 .put(
                         attempt,
--- a/core/src/main/java/org/bramleylatch/core/RequestRow.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestRow.java
@@ -15,6 +15,7 @@
  * @param position how many tokens have reached the caller
  * @param ran what is known about whether an endpoint ran the request
  * @param tried the endpoints that failed
+ * @param origin the endpoint that the answer comes from; only there it can be resumed
  */
 public record RequestRow(
         RequestSpec spec,
@@ -25,7 +26,8 @@
         int attempts,
         long position,
         RunState ran,
-        Set<EndpointId> tried) {
+        Set<EndpointId> tried,
+        Optional<EndpointId> origin) {
 
     /** Tells what a request waits for. */
     public enum Stage {
@@ -37,6 +39,8 @@
         QUEUED,
         /** An attempt is running. */
         RUNNING,
+        /** The caller reads too slowly; the attempt was cancelled and will be resumed. */
+        PARKED,
         /** The answer is whole; its usage is being held by a keeper. */
         SETTLING
     }
@@ -57,7 +61,8 @@
                 0,
                 0,
                 RunState.NOT_RUN,
-                Set.of());
+                Set.of(),
+                Optional.empty());
     }
 
     /** Returns the request after a keeper was asked. */
@@ -76,15 +81,19 @@
     }
 
     /** Returns the request after an attempt was started; from now on it may have run. */
-    public RequestRow started(AttemptId newAttempt) {
-        return with(
+    public RequestRow started(AttemptId newAttempt, EndpointId endpoint) {
+        RunState known = ran == RunState.RAN ? ran : RunState.UNKNOWN;
+        return new RequestRow(
+                spec,
                 Stage.RUNNING,
                 keeper,
                 grant,
                 Optional.of(newAttempt),
                 attempts + 1,
                 position,
-                RunState.UNKNOWN);
+                known,
+                tried,
+                Optional.of(endpoint));
     }
 
     /** Returns the request after tokens were passed on to the caller. */
@@ -92,12 +101,31 @@
         return with(stage, keeper, grant, attempt, attempts, position + tokens, RunState.RAN);
     }
 
-    /** Returns the request after its attempt failed, with what is known of the run. */
+    /** Returns the request after its attempt was cancelled because the caller reads too slowly. */
+    public RequestRow parked() {
+        return with(Stage.PARKED, keeper, grant, Optional.empty(), attempts - 1, position, ran);
+    }
+
+    /**
+     * Returns the request after its attempt failed, with what is known of the run. An answer that
+     * has begun goes on at the same endpoint; otherwise that endpoint is not tried again.
+     */
     public RequestRow failedAt(EndpointId endpoint, RunState known) {
         Set<EndpointId> more = new HashSet<>(tried);
-        more.add(endpoint);
+        if (position == 0) {
+            more.add(endpoint);
+        }
         return new RequestRow(
-                spec, stage, keeper, grant, Optional.empty(), attempts, position, known, more);
+                spec,
+                stage,
+                keeper,
+                grant,
+                Optional.empty(),
+                attempts,
+                position,
+                known,
+                more,
+                origin);
     }
 
     private RequestRow with(
@@ -117,6 +145,7 @@
                 newAttempts,
                 newPosition,
                 newRan,
-                tried);
+                tried,
+                origin);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimers.java
@@ -53,12 +53,20 @@
         return attempt.isPresent();
     }
 
+    /** Frees the endpoint's memory while the caller does not read. */
+    private static void park(RouterWorld world, AttemptRow row) {
+        Outcomes.closeAttempt(world, row.id());
+        world.send(new RouterOutput.CancelAttempt(row.id()));
+        world.requests().update(row.request(), RequestRow::parked);
+        world.note(EventKind.ATTEMPT_PARKED, row.id(), "position=" + row.nextPosition());
+    }
+
     private void check(RouterWorld world, AttemptRow row, long nowMillis) {
         boolean begun = row.progressMillis() > row.startedMillis();
         long silentMillis = begun ? limits.stallMillis() : limits.firstTokenMillis();
         long dueMillis = row.progressMillis() + silentMillis;
         if (row.paused()) {
-            world.timers().set(new AttemptCheck(row.id()), nowMillis + limits.stallMillis());
+            park(world, row);
         } else if (nowMillis < dueMillis) {
             world.timers().set(new AttemptCheck(row.id()), dueMillis);
         } else {
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -141,22 +141,25 @@
         return Rendezvous.first(budget.value(), keepers);
     }
 
+    /** Returns the endpoints that may serve the request now, in order of their ids. */
     List<EndpointRow> candidates(RequestRow row, long nowMillis) {
-        Optional<Version> version = row.spec().version();
         List<EndpointRow> open =
-                new ArrayList<>(
-                        endpoints.where(
-                                endpoint ->
-                                        endpoint.backEnd().equals(row.spec().route().backEnd())
-                                                && endpoint.isOpen(nowMillis)
-                                                && !row.tried().contains(endpoint.id())
-                                                && version.filter(
-                                                                v -> !v.equals(endpoint.version()))
-                                                        .isEmpty()));
+                new ArrayList<>(endpoints.where(endpoint -> mayServe(endpoint, row, nowMillis)));
         open.sort(Comparator.comparing(EndpointRow::id));
         return open;
     }
 
+    private static boolean mayServe(EndpointRow endpoint, RequestRow row, long nowMillis) {
+        if (row.position() > 0) {
+            return row.origin().filter(endpoint.id()::equals).isPresent();
+        }
+        Optional<Version> version = row.spec().version();
+        return endpoint.backEnd().equals(row.spec().route().backEnd())
+                && endpoint.isOpen(nowMillis)
+                && !row.tried().contains(endpoint.id())
+                && version.filter(v -> !v.equals(endpoint.version())).isEmpty();
+    }
+
     void send(RouterOutput message) {
         outbox.add(message);
     }
--- a/core/src/main/java/org/bramleylatch/core/Streams.java
+++ b/core/src/main/java/org/bramleylatch/core/Streams.java
@@ -82,14 +82,11 @@
 
     /** Stops or resumes reading from the endpoint, as the caller reads. */
     boolean pause(CallerPaused paused) {
-        Optional<AttemptId> attempt =
-                world.requests().find(paused.request()).flatMap(RequestRow::attempt);
-        attempt.ifPresent(
-                id -> {
-                    world.attempts().update(id, row -> row.paused(paused.paused(), nowMillis));
-                    world.send(new RouterOutput.PauseAttempt(id, paused.paused()));
-                });
-        return attempt.isPresent();
+        Optional<RequestRow> request = world.requests().find(paused.request());
+        request.flatMap(RequestRow::attempt).ifPresent(id -> pause(id, paused.paused()));
+        request.filter(row -> row.stage() == Stage.PARKED && !paused.paused())
+                .ifPresent(this::resume);
+        return request.isPresent();
     }
 
     /** Ends a request whose caller hung up. */
@@ -100,6 +97,18 @@
         return row.isPresent();
     }
 
+    private void pause(AttemptId id, boolean isPaused) {
+        world.attempts().update(id, row -> row.paused(isPaused, nowMillis));
+        world.send(new RouterOutput.PauseAttempt(id, isPaused));
+        long silentMillis = isPaused ? limits.pausedMillis() : limits.stallMillis();
+        world.timers().set(new RouterTimer.AttemptCheck(id), nowMillis + silentMillis);
+    }
+
+    private void resume(RequestRow row) {
+        world.requests().put(row.spec().id(), row.in(Stage.QUEUED));
+        world.queued().add(row.spec().id());
+    }
+
     private boolean drop(AttemptId attempt, String detail) {
         world.note(EventKind.MESSAGE_DROPPED, attempt, detail);
         return false;
@@ -156,10 +165,7 @@
     }
 
     private boolean mayRetry(RequestRow row) {
-        boolean safe =
-                row.spec().route().repeatable()
-                        ? row.position() == 0
-                        : row.ran() == RunState.NOT_RUN;
+        boolean safe = row.spec().route().repeatable() || row.ran() == RunState.NOT_RUN;
         boolean allowed =
                 world.retries()
                         .find(row.spec().route().name())
--- a/edge/src/main/java/org/bramleylatch/edge/Ops.java
+++ b/edge/src/main/java/org/bramleylatch/edge/Ops.java
@@ -1,6 +1,7 @@
 package org.bramleylatch.edge;
 
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.ext.web.Router;
@@ -23,6 +24,7 @@
      * @param ready tells whether new work is welcome; false while draining
      */
     public static void mount(Router router, PrometheusRegistry registry, BooleanSupplier ready) {
+        JvmMetrics.builder().register(registry);
         router.get("/metrics").handler(call -> writeMetrics(call, registry));
         router.get("/healthz").handler(call -> call.response().setStatusCode(OK).end("ok\n"));
         router.get("/readyz").handler(call -> writeReady(call, ready.getAsBoolean()));
--- a/edge/src/main/java/org/bramleylatch/edge/Servers.java
+++ b/edge/src/main/java/org/bramleylatch/edge/Servers.java
@@ -14,6 +14,8 @@
 /** Starts HTTP servers. */
 public final class Servers {
 
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
     private Servers() {}
 
     /**
@@ -27,6 +29,7 @@
                 new HttpServerOptions()
                         .setHost(address.ip())
                         .setPort(address.port())
+                        .setSendBufferSize(SEND_BUFFER_BYTES)
                         .setTcpNoDelay(true);
         return vertx.createHttpServer(options)
                 .requestHandler(handler)
