--- a/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
@@ -141,7 +141,7 @@
             throw new IllegalStateException("status " + response.statusCode());
         }
         response.handler(bytes -> {});
-        return paused ? (HttpClientResponse) response.pause() : response;
+        return paused ? response.pause() : response;
     }
 
     private static void record(HttpClientResponse response, Histogram gaps) {
