Move routes between versions, decided by the fold; bound what slow readers hold

A move needs an end that all agree on, without anyone in charge; and the benchmark of slow readers showed the router out of direct memory at 500 of them (257,966,367 of 259,522,560 bytes). Ruled out for memory: the write queue (64 KiB a stream); the receive buffer size also sets the size of every read's buffer, and sixteen such reads wait behind a paused answer, so 64 KiB made it worse. Change: records begin, observe, expire and take back moves; the fold itself advances, ends and takes back; routers judge by a sequential test against the old version at the same time, stop by themselves, retry at the old version and go back when the new one can't serve. Reads of 8 KiB, write queue 16 KiB. A deployment of the benchmarks now stops its processes when it is told to stop.

--- a/admin/src/main/java/org/bramleylatch/admin/AdminApi.java
+++ b/admin/src/main/java/org/bramleylatch/admin/AdminApi.java
@@ -16,9 +16,11 @@
 import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.LedgerRecord;
+import org.bramleylatch.core.MoveSpec;
 import org.bramleylatch.core.RequestKey;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
+import org.bramleylatch.core.RouteName;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.edge.Digests;
 import org.bramleylatch.edge.Incarnations;
@@ -26,10 +28,12 @@
 import org.bramleylatch.wire.ConfigDocument;
 import org.bramleylatch.wire.ConfigRecord.SectionProposed;
 import org.bramleylatch.wire.Json;
+import org.bramleylatch.wire.Schema;
 import org.bramleylatch.wire.Settings;
 
 /** Serves the administration API: budgets, holders and configuration sections. */
 final class AdminApi {
+    private static final Schema MOVE_SCHEMA = Schema.of("move.schema.json");
     private static final String BASE = "/admin/v1";
     private static final String BEARER = "Bearer ";
     private static final String KEY_HEADER = "idempotency-key";
@@ -67,6 +71,10 @@
                 .handler(call -> guard(call, owner -> freeze(call)));
         web.post(BASE + "/budgets/:budget/holders/:holder/release")
                 .handler(call -> guard(call, owner -> release(call, owner)));
+        web.get(BASE + "/moves").handler(call -> guard(call, owner -> moves()));
+        web.post(BASE + "/moves").handler(call -> guard(call, owner -> beginMove(call)));
+        web.post(BASE + "/moves/:route/take-back")
+                .handler(call -> guard(call, owner -> takeBack(call, owner)));
         web.get(BASE + "/sections").handler(call -> guard(call, owner -> sections(call)));
         web.put(BASE + "/sections/:section")
                 .handler(call -> guard(call, owner -> putSection(call, owner)));
@@ -159,6 +167,28 @@
                 .thenApply(accepted -> new Answer(OK, statement(budget)));
     }
 
+    private CompletableFuture<Answer> moves() {
+        return done(OK, world.ledger().moves().rows().toList());
+    }
+
+    private CompletableFuture<Answer> beginMove(RoutingContext call) {
+        MoveSpec spec =
+                MOVE_SCHEMA.read(
+                        "move", call.body().asString(), MoveSpec.class, ResultCode.FIELD_INVALID);
+        return proposer.apply(new LedgerRecord.MoveBegun(spec))
+                .thenApply(accepted -> new Answer(CREATED, move(spec.route())));
+    }
+
+    private CompletableFuture<Answer> takeBack(RoutingContext call, String owner) {
+        RouteName route = RouteName.of(call.pathParam("route"));
+        return proposer.apply(new LedgerRecord.MoveTakenBack(route, owner))
+                .thenApply(accepted -> new Answer(OK, move(route)));
+    }
+
+    private Object move(RouteName route) {
+        return world.ledger().moves().find(route).orElseThrow();
+    }
+
     private CompletableFuture<Answer> sections(RoutingContext call) {
         return done(OK, sections.document().sections());
     }
--- a/bench/src/main/java/org/bramleylatch/bench/Deployment.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Deployment.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.bramleylatch.admin.AdminMain;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.Version;
@@ -52,6 +53,7 @@
     private Deployment(Path folder, List<String> jvmOptions) {
         this.folder = folder;
         this.jvmOptions = jvmOptions;
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     /** Returns a deployment without processes that keeps its files in the folder. */
@@ -194,6 +196,19 @@
         command(jcmd, Long.toString(processes.get(name).pid()), "GC.run");
     }
 
+    /** Returns how much memory a process has in use, in bytes. */
+    public long residentBytes(String name) {
+        Path status = Path.of("/proc", Long.toString(processes.get(name).pid()), "status");
+        try (Stream<String> lines = Files.lines(status)) {
+            return lines.filter(line -> line.startsWith("VmRSS:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * 1024)
+                    .findFirst()
+                    .orElseThrow();
+        } catch (IOException gone) {
+            throw new UncheckedIOException(gone);
+        }
+    }
+
     private static void command(String... words) {
         try {
             new ProcessBuilder(words)
--- a/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
@@ -26,7 +26,7 @@
     private static final int[] STREAMS = {0, 500, 1_000, 2_000};
     private static final int[] SLOW = {0, 500, 2_000};
     private static final int FAST = 50;
-    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+    private static final int RECEIVE_BUFFER_BYTES = 8 * 1024;
     private static final int MOST_CONNECTIONS = 10_000;
     private static final long OPEN_MILLIS = 60_000;
     private static final long FILL_MILLIS = 12_000;
@@ -59,8 +59,10 @@
         try (Deployment deployment = deployment(folder, "1000", "0")) {
             List<HttpClientResponse> open = open(deployment.address("router"), count, false);
             System.out.printf(
-                    "%d open streams: router heap %.1f MiB%n",
-                    open.size(), heapBytes(deployment) / BYTES_PER_MIB);
+                    "%d open streams: router heap %.1f MiB, resident %.1f MiB%n",
+                    open.size(),
+                    heapBytes(deployment) / BYTES_PER_MIB,
+                    deployment.residentBytes("router") / BYTES_PER_MIB);
         }
     }
 
@@ -74,10 +76,11 @@
             fast.forEach(response -> record(response, gaps));
             pause(FILL_MILLIS);
             System.out.printf(
-                    "%d slow readers: router heap %.1f MiB, fast readers between tokens p50 %.1f ms"
-                            + " p95 %.1f ms, engine holds %s%n",
+                    "%d slow readers: router heap %.1f MiB, resident %.1f MiB, fast readers"
+                            + " between tokens p50 %.1f ms p95 %.1f ms, engine holds %s%n",
                     count,
                     heapBytes(deployment) / BYTES_PER_MIB,
+                    deployment.residentBytes("router") / BYTES_PER_MIB,
                     gaps.getValueAtPercentile(50) / 1e6,
                     gaps.getValueAtPercentile(95) / 1e6,
                     deployment.caller("engine").get("/load").body());
--- a/core/src/main/java/org/bramleylatch/core/AttemptRow.java
+++ b/core/src/main/java/org/bramleylatch/core/AttemptRow.java
@@ -1,11 +1,14 @@
 package org.bramleylatch.core;
 
+import java.util.Optional;
+
 /**
  * Is one running try of a request at an endpoint.
  *
  * @param heldTokens what the attempt may need in the endpoint's memory
  * @param nextPosition the position of the next token that is expected
  * @param startedMillis when the attempt was started
+ * @param firstMillis when its first token came, 0 while none has
  * @param progressMillis when the last message of it came
  * @param paused true while the caller reads too slowly
  */
@@ -16,6 +19,7 @@
         long heldTokens,
         long nextPosition,
         long startedMillis,
+        long firstMillis,
         long progressMillis,
         boolean paused) {
 
@@ -28,10 +32,16 @@
                 heldTokens,
                 nextPosition + tokens,
                 startedMillis,
+                firstMillis == 0 ? nowMillis : firstMillis,
                 nowMillis,
                 paused);
     }
 
+    /** Returns how long the first token took, in milliseconds; empty while none has come. */
+    public Optional<Long> firstTokenMillis() {
+        return firstMillis == 0 ? Optional.empty() : Optional.of(firstMillis - startedMillis);
+    }
+
     /** Returns the attempt as paused or not. */
     public AttemptRow paused(boolean isPaused, long nowMillis) {
         return new AttemptRow(
@@ -41,6 +51,7 @@
                 heldTokens,
                 nextPosition,
                 startedMillis,
+                firstMillis,
                 nowMillis,
                 isPaused);
     }
--- a/core/src/main/java/org/bramleylatch/core/Fleet.java
+++ b/core/src/main/java/org/bramleylatch/core/Fleet.java
@@ -10,6 +10,7 @@
 import org.bramleylatch.core.RouterInput.EndpointsListed;
 import org.bramleylatch.core.RouterInput.KeeperDown;
 import org.bramleylatch.core.RouterInput.KeeperUp;
+import org.bramleylatch.core.RouterInput.MoveChanged;
 
 /** Keeps a router's view of the configuration, the endpoints and the keepers. */
 record Fleet(RouterWorld world, long nowMillis) {
@@ -67,6 +68,18 @@
         return true;
     }
 
+    /** Takes the state of a move; an older one changes nothing. */
+    boolean move(MoveChanged changed) {
+        RouteName route = changed.move().spec().route();
+        MoveWatch after =
+                world.moves()
+                        .find(route)
+                        .map(watch -> watch.seen(changed.move()))
+                        .orElseGet(() -> MoveWatch.of(changed.move()));
+        world.moves().put(route, after);
+        return true;
+    }
+
     /** Begins a planned stop. */
     boolean stop() {
         world.setStopping();
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -7,9 +7,11 @@
 import org.bramleylatch.core.KeeperInput.FromLog;
 import org.bramleylatch.core.KeeperInput.IntentAsked;
 import org.bramleylatch.core.KeeperInput.IntentEnded;
+import org.bramleylatch.core.KeeperInput.MoveSeen;
 import org.bramleylatch.core.KeeperInput.ReservationReleased;
 import org.bramleylatch.core.KeeperInput.ReserveAsked;
 import org.bramleylatch.core.KeeperInput.RouterLost;
+import org.bramleylatch.core.KeeperInput.RouterSeen;
 import org.bramleylatch.core.KeeperInput.StopAsked;
 import org.bramleylatch.core.KeeperInput.UsageGiven;
 import org.bramleylatch.core.LedgerFeed.AppendDone;
@@ -40,6 +42,8 @@
                     .on(ReservationReleased.class, this::release)
                     .on(IntentAsked.class, this::claim)
                     .on(IntentEnded.class, this::finish)
+                    .on(MoveSeen.class, this::observeMove)
+                    .on(RouterSeen.class, this::meetRouter)
                     .on(RouterLost.class, this::loseRouter)
                     .on(EndpointReported.class, this::settleOrphan)
                     .on(FromLog.class, input -> feed().apply(input.feed()))
@@ -174,7 +178,22 @@
             return true;
         }
 
+        private boolean observeMove(MoveSeen message) {
+            world.append(message.seen());
+            return true;
+        }
+
+        private boolean meetRouter(RouterSeen seen) {
+            world.ledger()
+                    .moves()
+                    .rows()
+                    .map(move -> new KeeperOutput.MoveChanged(seen.router(), move))
+                    .forEach(world.outbox()::add);
+            return world.routers().add(seen.router());
+        }
+
         private boolean loseRouter(RouterLost lost) {
+            world.routers().remove(lost.router());
             world.waiting()
                     .where(row -> row.router().equals(lost.router()))
                     .forEach(row -> Reservations.drop(world, row.key()));
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -27,6 +27,12 @@
     record IntentEnded(RequestKey key, Incarnation router, RunState state, int status, String body)
             implements KeeperInput {}
 
+    /** A router reports what it saw of a move. */
+    record MoveSeen(LedgerRecord.MoveObserved seen) implements KeeperInput {}
+
+    /** A router opened a link. */
+    record RouterSeen(Incarnation router) implements KeeperInput {}
+
     /** The link to a router broke. */
     record RouterLost(Incarnation router) implements KeeperInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
@@ -29,6 +29,9 @@
     record IntentRefused(Incarnation router, RequestKey key, ResultCode code)
             implements KeeperOutput {}
 
+    /** Tells a router the state of a move. */
+    record MoveChanged(Incarnation router, MoveRow move) implements KeeperOutput {}
+
     /** Appends the records to the log, in order, in one call. */
     record AppendBatch(List<Numbered> records) implements KeeperOutput {
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
@@ -17,6 +17,7 @@
                 new KeeperTimers(limits),
                 new ReservingSystem(),
                 new GrantSystem(policy),
+                new MoveTellingSystem(),
                 new KeeperStopSystem(),
                 new SnapshotSystem(limits),
                 new AppendSystem(limits));
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimer.java
@@ -15,6 +15,9 @@
     /** The next append may be sent. */
     record AppendDue() implements KeeperTimer {}
 
+    /** The deadline of a route's move has come. */
+    record MoveDeadline(RouteName route) implements KeeperTimer {}
+
     /** The holdings are due to be looked at. */
     record Review() implements KeeperTimer {}
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.bramleylatch.core.KeeperTimer.AppendDue;
 import org.bramleylatch.core.KeeperTimer.IntentWait;
+import org.bramleylatch.core.KeeperTimer.MoveDeadline;
 import org.bramleylatch.core.KeeperTimer.OrphanRetry;
 import org.bramleylatch.core.KeeperTimer.ReserveWait;
 import org.bramleylatch.core.KeeperTimer.Review;
@@ -19,6 +20,7 @@
                         .on(ReserveWait.class, due -> refuse(world, due.key()))
                         .on(IntentWait.class, due -> giveUp(world, due.key()))
                         .on(OrphanRetry.class, due -> ask(world, due, nowMillis))
+                        .on(MoveDeadline.class, due -> expire(world, due, nowMillis))
                         .on(AppendDue.class, due -> true)
                         .on(Review.class, due -> review(world, due, nowMillis));
         world.timers().takeDue(nowMillis).forEach(handlers::apply);
@@ -49,6 +51,16 @@
         return orphan.isPresent();
     }
 
+    /** Asks the log to end the move; repeated until it has ended, as the log's time may lag. */
+    private boolean expire(KeeperWorld world, MoveDeadline due, long nowMillis) {
+        Optional<MoveRow> late =
+                world.ledger().moves().find(due.route()).filter(MoveRow::isRunning);
+        late.ifPresent(
+                move -> world.append(new LedgerRecord.MoveExpired(due.route(), move.spec().to())));
+        late.ifPresent(move -> world.timers().set(due, nowMillis + limits.reviewMillis()));
+        return late.isPresent();
+    }
+
     private boolean review(KeeperWorld world, Review due, long nowMillis) {
         List<HoldingRow> idle = world.holdings().where(row -> isIdle(world, row, nowMillis));
         idle.forEach(row -> world.holdings().remove(row.budget()));
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -17,6 +17,8 @@
     private final Table<RequestKey, PendingUsageRow> pendingUsages = Table.empty();
     private final Table<RequestKey, IntentAskRow> intentAsks = Table.empty();
     private final Deadlines<KeeperTimer> timers = Deadlines.empty();
+    private final Set<Incarnation> routers = new HashSet<>();
+    private final Table<RouteName, Long> toldMoves = Table.empty();
     private final Set<BudgetId> touched = new HashSet<>();
     private final LogWriter writer = LogWriter.empty();
     private final Incarnation self;
@@ -104,6 +106,14 @@
         return timers;
     }
 
+    Set<Incarnation> routers() {
+        return routers;
+    }
+
+    Table<RouteName, Long> toldMoves() {
+        return toldMoves;
+    }
+
     Set<BudgetId> touched() {
         return touched;
     }
--- a/core/src/main/java/org/bramleylatch/core/Ledger.java
+++ b/core/src/main/java/org/bramleylatch/core/Ledger.java
@@ -18,6 +18,7 @@
     private final Table<BudgetId, List<Incarnation>> holders = Table.empty();
     private final Table<RequestKey, IntentRow> intents = Table.empty();
     private final Table<Incarnation, WriterRow> writers = Table.empty();
+    private final Table<RouteName, MoveRow> moves = Table.empty();
     private final KeyWindow settledKeys = KeyWindow.empty();
     private long nextOffset;
     private long logMillis;
@@ -58,6 +59,11 @@
         return writers;
     }
 
+    /** Returns the latest move of each route. */
+    public Table<RouteName, MoveRow> moves() {
+        return moves;
+    }
+
     /** Returns the keys whose usage was settled within the window. */
     public KeyWindow settledKeys() {
         return settledKeys;
@@ -105,6 +111,7 @@
                 .forEach(rows::add);
         intents.rows().map(LedgerImage.IntentPart::new).forEach(rows::add);
         writers.rows().map(LedgerImage.WriterPart::new).forEach(rows::add);
+        moves.rows().map(LedgerImage.MovePart::new).forEach(rows::add);
         settledKeys.keys().map(LedgerImage.KeyPart::new).forEach(rows::add);
         return new LedgerImage(nextOffset, logMillis, rows);
     }
@@ -140,6 +147,7 @@
                     .on(LedgerImage.GrantPart.class, part -> loadGrant(part.grant()))
                     .on(LedgerImage.IntentPart.class, part -> loadIntent(part.intent()))
                     .on(LedgerImage.WriterPart.class, part -> loadWriter(part.writer()))
+                    .on(LedgerImage.MovePart.class, part -> loadMove(part.move()))
                     .on(LedgerImage.KeyPart.class, part -> settledKeys.add(part.key()));
 
     private boolean loadBudget(BudgetRow row) {
@@ -162,6 +170,11 @@
         return true;
     }
 
+    private boolean loadMove(MoveRow row) {
+        moves.put(row.spec().route(), row);
+        return true;
+    }
+
     static HashCode hash(Object row) {
         return Hashing.murmur3_128().hashString(row.toString(), StandardCharsets.UTF_8);
     }
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -10,6 +10,10 @@
 import org.bramleylatch.core.LedgerRecord.HolderFrozen;
 import org.bramleylatch.core.LedgerRecord.IntentDeclared;
 import org.bramleylatch.core.LedgerRecord.IntentFinished;
+import org.bramleylatch.core.LedgerRecord.MoveBegun;
+import org.bramleylatch.core.LedgerRecord.MoveExpired;
+import org.bramleylatch.core.LedgerRecord.MoveObserved;
+import org.bramleylatch.core.LedgerRecord.MoveTakenBack;
 import org.bramleylatch.core.LedgerRecord.SnapshotPart;
 import org.bramleylatch.core.LedgerRecord.UsageReported;
 
@@ -22,11 +26,13 @@
     private static final int EXPIRE_EVERY_RECORDS = 256;
 
     private final Ledger ledger;
+    private final MoveRules moves;
     private final Dispatch<LedgerRecord, Optional<ResultCode>> rules;
     private long offset;
 
     private LedgerFold(Ledger ledger) {
         this.ledger = ledger;
+        this.moves = new MoveRules(ledger);
         this.rules =
                 Dispatch.<LedgerRecord, Optional<ResultCode>>empty()
                         .on(BudgetCreated.class, this::create)
@@ -38,6 +44,10 @@
                         .on(FrozenReleased.class, this::release)
                         .on(IntentDeclared.class, this::declare)
                         .on(IntentFinished.class, this::finish)
+                        .on(MoveBegun.class, record -> moves.begin(record, offset))
+                        .on(MoveObserved.class, record -> moves.observe(record, offset))
+                        .on(MoveExpired.class, record -> moves.expire(record, offset))
+                        .on(MoveTakenBack.class, record -> moves.takeBack(record, offset))
                         .on(SnapshotPart.class, part -> ACCEPTED);
     }
 
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -57,6 +57,25 @@
             RequestKey key, Incarnation router, RunState state, int status, String body)
             implements LedgerRecord {}
 
+    /** Begins a move of a route to another version. */
+    record MoveBegun(MoveSpec spec) implements LedgerRecord {}
+
+    /**
+     * Reports the attempts of one router since its last report.
+     *
+     * @param stage the stage in which the attempts were made
+     * @param alarm true if the router has stopped the new version by itself
+     */
+    record MoveObserved(
+            RouteName route, Version to, int stage, Tally old, Tally fresh, boolean alarm)
+            implements LedgerRecord {}
+
+    /** Takes a move back whose deadline has passed by the time of the log. */
+    record MoveExpired(RouteName route, Version to) implements LedgerRecord {}
+
+    /** Takes a move back on an operator's word. */
+    record MoveTakenBack(RouteName route, String operator) implements LedgerRecord {}
+
     /**
      * Carries a part of a snapshot of all that lies before an offset.
      *
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -19,7 +19,7 @@
     }
 
     private void place(RouterWorld world, RequestRow row, long nowMillis) {
-        List<EndpointRow> open = world.candidates(row, nowMillis);
+        List<EndpointRow> open = open(world, row, nowMillis);
         if (open.isEmpty()) {
             ResultCode code =
                     row.position() > 0 ? ResultCode.ANSWER_INCOMPLETE : ResultCode.NO_ENDPOINT;
@@ -33,6 +33,16 @@
                 .ifPresent(endpoint -> start(world, row, endpoint, nowMillis));
     }
 
+    /** Goes back to the old version if the new one can't serve, which counts against it. */
+    private static List<EndpointRow> open(RouterWorld world, RequestRow row, long nowMillis) {
+        List<EndpointRow> open = world.candidates(row, nowMillis);
+        List<EndpointRow> old = open.isEmpty() ? world.oldCandidates(row, nowMillis) : List.of();
+        if (!old.isEmpty()) {
+            MoveSystem.unserved(world, row);
+        }
+        return open.isEmpty() ? old : open;
+    }
+
     private void start(RouterWorld world, RequestRow row, EndpointRow endpoint, long nowMillis) {
         AttemptId attempt = world.newAttemptId();
         RequestSpec spec = row.spec();
@@ -49,6 +59,7 @@
                                 need,
                                 row.position(),
                                 nowMillis,
+                                0,
                                 nowMillis,
                                 false));
         world.endpoints().put(endpoint.id(), endpoint.sent(need, 1));
--- a/core/src/main/java/org/bramleylatch/core/RouterInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInbox.java
@@ -12,6 +12,7 @@
 import org.bramleylatch.core.RouterInput.IntentWon;
 import org.bramleylatch.core.RouterInput.KeeperDown;
 import org.bramleylatch.core.RouterInput.KeeperUp;
+import org.bramleylatch.core.RouterInput.MoveChanged;
 import org.bramleylatch.core.RouterInput.RequestArrived;
 import org.bramleylatch.core.RouterInput.ReserveGranted;
 import org.bramleylatch.core.RouterInput.ReserveRefused;
@@ -53,6 +54,7 @@
                 .on(EndpointReported.class, fleet::report)
                 .on(KeeperUp.class, fleet::keeperUp)
                 .on(KeeperDown.class, fleet::keeperDown)
+                .on(MoveChanged.class, fleet::move)
                 .on(StopAsked.class, message -> fleet.stop());
         world.inbox().take(MOST_MESSAGES).forEach(table::apply);
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -72,6 +72,9 @@
     /** The caller hung up. */
     record CallerGone(RequestId request) implements RouterInput {}
 
+    /** A move began, advanced or ended. */
+    record MoveChanged(MoveRow move) implements RouterInput {}
+
     /** A planned stop begins. */
     record StopAsked() implements RouterInput {}
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -10,6 +10,7 @@
  * @param stallMillis how long an endpoint may be silent after that
  * @param holdMillis how long the end of an answer may wait for a keeper to hold its usage
  * @param pausedMillis how long a paused attempt may keep its place at the endpoint
+ * @param moveReportMillis how long to gather what was seen of moves before it is reported
  * @param retryPermille how many retries a route may add to its requests, in thousandths
  */
 public record RouterLimits(
@@ -20,10 +21,11 @@
         long stallMillis,
         long holdMillis,
         long pausedMillis,
-        int retryPermille) {
+        int retryPermille,
+        long moveReportMillis) {
 
     /** Returns the limits for the sizes of today. */
     public static RouterLimits standard() {
-        return new RouterLimits(500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100);
+        return new RouterLimits(500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -17,6 +17,7 @@
                 new RouterTimers(limits),
                 new PlacementSystem(placement, limits),
                 new SettlingSystem(),
+                new MoveSystem(limits),
                 new RouterStopSystem());
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -12,6 +12,9 @@
     /** An attempt is due to be checked for silence. */
     record AttemptCheck(AttemptId attempt) implements RouterTimer {}
 
+    /** What was seen of moves is due to be reported. */
+    record MoveReport() implements RouterTimer {}
+
     /** The end of an answer has waited long enough for a keeper. */
     record HoldWait(RequestKey key) implements RouterTimer {}
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimers.java
@@ -4,6 +4,7 @@
 import org.bramleylatch.core.RequestRow.Stage;
 import org.bramleylatch.core.RouterTimer.AttemptCheck;
 import org.bramleylatch.core.RouterTimer.HoldWait;
+import org.bramleylatch.core.RouterTimer.MoveReport;
 import org.bramleylatch.core.RouterTimer.RequestDeadline;
 import org.bramleylatch.core.RouterTimer.ReserveWait;
 
@@ -19,6 +20,7 @@
                                 ReserveWait.class,
                                 due -> giveUpReserve(world, due.request(), nowMillis))
                         .on(AttemptCheck.class, due -> check(world, due, nowMillis))
+                        .on(MoveReport.class, due -> true)
                         .on(HoldWait.class, due -> Settlements.held(world, due.key()));
         world.timers().takeDue(nowMillis).forEach(handlers::apply);
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -19,6 +19,7 @@
     private final Table<EndpointId, EndpointRow> endpoints = Table.empty();
     private final Table<RequestKey, SettlementRow> settlements = Table.empty();
     private final Table<RouteName, RetryRow> retries = Table.empty();
+    private final Table<RouteName, MoveWatch> moves = Table.empty();
     private final Set<RequestId> queued = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
     private final Deadlines<RouterTimer> timers = Deadlines.empty();
@@ -27,6 +28,7 @@
     private final Supplier<AttemptId> attemptIds;
     private Configuration configuration = Configuration.empty();
     private boolean stopping;
+    private long nextMoveReportMillis;
 
     private RouterWorld(Incarnation self, Zone zone, Supplier<AttemptId> attemptIds) {
         this.self = self;
@@ -98,6 +100,11 @@
         return keepers;
     }
 
+    /** Returns what this router knows of the latest move of each route. */
+    public Table<RouteName, MoveWatch> moves() {
+        return moves;
+    }
+
     /** Returns true once a planned stop has begun. */
     public boolean isStopping() {
         return stopping;
@@ -132,6 +139,14 @@
         configuration = newer;
     }
 
+    long nextMoveReportMillis() {
+        return nextMoveReportMillis;
+    }
+
+    void setNextMoveReport(long millis) {
+        nextMoveReportMillis = millis;
+    }
+
     void setStopping() {
         stopping = true;
     }
@@ -143,21 +158,43 @@
 
     /** Returns the endpoints that may serve the request now, in order of their ids. */
     List<EndpointRow> candidates(RequestRow row, long nowMillis) {
+        if (row.position() > 0) {
+            return row.origin().flatMap(endpoints::find).stream().toList();
+        }
+        return open(row, version(row), nowMillis);
+    }
+
+    /** Returns the endpoints of the old version, if the request fell to one that is moved to. */
+    List<EndpointRow> oldCandidates(RequestRow row, long nowMillis) {
+        return moves.find(row.spec().route().name())
+                .filter(watch -> watch.move().isRunning() && row.position() == 0)
+                .map(watch -> open(row, Optional.of(watch.move().spec().from()), nowMillis))
+                .orElse(List.of());
+    }
+
+    private List<EndpointRow> open(RequestRow row, Optional<Version> version, long nowMillis) {
         List<EndpointRow> open =
-                new ArrayList<>(endpoints.where(endpoint -> mayServe(endpoint, row, nowMillis)));
+                new ArrayList<>(
+                        endpoints.where(
+                                endpoint ->
+                                        endpoint.backEnd().equals(row.spec().route().backEnd())
+                                                && endpoint.isOpen(nowMillis)
+                                                && !row.tried().contains(endpoint.id())
+                                                && version.filter(
+                                                                v -> !v.equals(endpoint.version()))
+                                                        .isEmpty()));
         open.sort(Comparator.comparing(EndpointRow::id));
         return open;
     }
 
-    private static boolean mayServe(EndpointRow endpoint, RequestRow row, long nowMillis) {
-        if (row.position() > 0) {
-            return row.origin().filter(endpoint.id()::equals).isPresent();
+    /** Returns the version that the request falls to; a retry of a moving route goes back. */
+    private Optional<Version> version(RequestRow row) {
+        Optional<MoveWatch> watch = moves.find(row.spec().route().name());
+        if (watch.isEmpty()) {
+            return row.spec().version();
         }
-        Optional<Version> version = row.spec().version();
-        return endpoint.backEnd().equals(row.spec().route().backEnd())
-                && endpoint.isOpen(nowMillis)
-                && !row.tried().contains(endpoint.id())
-                && version.filter(v -> !v.equals(endpoint.version())).isEmpty();
+        boolean isRetry = row.attempts() > 0 && watch.get().move().isRunning();
+        return watch.map(w -> isRetry ? w.move().spec().from() : w.versionFor(row.spec().key()));
     }
 
     void send(RouterOutput message) {
--- a/core/src/main/java/org/bramleylatch/core/Streams.java
+++ b/core/src/main/java/org/bramleylatch/core/Streams.java
@@ -11,6 +11,7 @@
 
 /** Carries answers from attempts to callers; what is crossed, late or repeated is dropped. */
 record Streams(RouterWorld world, RouterLimits limits, long nowMillis) {
+    private static final int FIRST_SERVER_ERROR = 500;
 
     /** Passes tokens on if they are the next ones of a running attempt. */
     boolean deliver(TokensArrived arrived) {
@@ -44,6 +45,7 @@
             return fail(new AttemptFailed(ended.attempt(), RunState.RAN, detail));
         }
         Outcomes.closeAttempt(world, ended.attempt());
+        noteHealth(attempt.get(), true);
         world.endpoints().update(attempt.get().endpoint(), EndpointRow::succeeded);
         world.note(EventKind.ATTEMPT_ENDED, ended.attempt(), "tokens=" + ended.position());
         world.requests().find(attempt.get().request()).ifPresent(this::settle);
@@ -56,6 +58,7 @@
         if (attempt.isEmpty()) {
             return drop(answered.attempt(), "answer of no such attempt");
         }
+        noteHealth(attempt.get(), answered.status() < FIRST_SERVER_ERROR);
         world.endpoints().update(attempt.get().endpoint(), EndpointRow::succeeded);
         world.note(EventKind.ATTEMPT_ENDED, answered.attempt(), "status=" + answered.status());
         world.requests()
@@ -72,6 +75,7 @@
         }
         world.send(new RouterOutput.CancelAttempt(failed.attempt()));
         EndpointId endpoint = attempt.get().endpoint();
+        noteHealth(attempt.get(), false);
         world.endpoints().update(endpoint, row -> row.failed(nowMillis));
         world.note(EventKind.ATTEMPT_FAILED, failed.attempt(), endpoint + " " + failed.detail());
         world.requests()
@@ -109,6 +113,19 @@
         world.queued().add(row.spec().id());
     }
 
+    private void noteHealth(AttemptRow attempt, boolean wentWell) {
+        world.requests()
+                .find(attempt.request())
+                .ifPresent(
+                        row ->
+                                MoveSystem.attempted(
+                                        world,
+                                        row,
+                                        attempt.endpoint(),
+                                        wentWell,
+                                        attempt.firstTokenMillis()));
+    }
+
     private boolean drop(AttemptId attempt, String detail) {
         world.note(EventKind.MESSAGE_DROPPED, attempt, detail);
         return false;
--- a/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
@@ -285,6 +285,24 @@
         assertThat(second).isBetween(50L, 150L);
     }
 
+    @Test
+    void aRequestGoesBackToTheOldVersionWhenTheNewOneCannotServe() {
+        RouteName route = RouterCase.CHAT.name();
+        MoveSpec spec =
+                new MoveSpec(
+                        route,
+                        Version.of("v1"),
+                        Version.of("v2"),
+                        Long.MAX_VALUE,
+                        List.of(1_000),
+                        5);
+        router.put(new RouterInput.MoveChanged(MoveRow.of(spec, 0)));
+        router.running(100, 50);
+        assertThat(router.toKeepers(KeeperInput.MoveSeen.class))
+                .extracting(message -> message.seen().fresh())
+                .containsExactly(new Tally(0, 1));
+    }
+
     private void breakOff() {
         for (int tries = 0; tries < RouterLimits.standard().mostAttempts(); tries++) {
             AttemptId latest = router.last(StartAttempt.class).orElseThrow().attempt();
--- a/ctl/src/main/java/org/bramleylatch/ctl/Commands.java
+++ b/ctl/src/main/java/org/bramleylatch/ctl/Commands.java
@@ -62,6 +62,9 @@
         table.put(
                 "section put",
                 new Command("SECTION FILE", 2, "replace a section", Commands::putSection));
+        table.put("move list", new Command("", 0, "show the moves", Commands::listMoves));
+        table.put("move begin", new Command("FILE", 1, "begin a move", Commands::beginMove));
+        table.put("move take-back", new Command("ROUTE", 1, "end a move", Commands::takeBack));
         table.put(
                 "timeline",
                 new Command("FILE...", 1, "merge the files of many processes", Timelines::run));
@@ -106,6 +109,19 @@
         System.out.println(AdminClient.of(options).put("/sections/" + words.get(0), body));
     }
 
+    private static void listMoves(CtlOptions options, List<String> words) {
+        System.out.println(AdminClient.of(options).get("/moves"));
+    }
+
+    private static void beginMove(CtlOptions options, List<String> words) {
+        System.out.println(AdminClient.of(options).post("/moves", read(words.get(0))));
+    }
+
+    private static void takeBack(CtlOptions options, List<String> words) {
+        String path = "/moves/" + words.get(0) + "/take-back";
+        System.out.println(AdminClient.of(options).post(path, "{}"));
+    }
+
     private static String read(String file) {
         try {
             return Files.readString(Path.of(file));
--- a/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
@@ -80,6 +80,8 @@
             return Optional.of(message.router());
         } else if (output instanceof KeeperOutput.IntentLost message) {
             return Optional.of(message.router());
+        } else if (output instanceof KeeperOutput.MoveChanged message) {
+            return Optional.of(message.router());
         } else if (output instanceof KeeperOutput.IntentRefused message) {
             return Optional.of(message.router());
         }
@@ -117,6 +119,7 @@
             links.put(hello.incarnation(), call);
             Hello answer = new Hello(self, order.next());
             call.response().write(Buffer.buffer(Json.writeBytes(answer)));
+            world.accept(new KeeperInput.RouterSeen(hello.incarnation()));
         }
     }
 }
--- a/router/src/main/java/org/bramleylatch/router/Endpoints.java
+++ b/router/src/main/java/org/bramleylatch/router/Endpoints.java
@@ -30,7 +30,7 @@
     private static final long PROBE_EVERY_MILLIS = 500;
     private static final long PROBE_TIMEOUT_MILLIS = 1_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+    private static final int RECEIVE_BUFFER_BYTES = 8 * 1024;
     private static final int MOST_CONNECTIONS = 4_096;
     private static final int OK = 200;
 
--- a/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
+++ b/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
@@ -78,6 +78,8 @@
             return Optional.of(new RouterInput.IntentWon(m.key()));
         } else if (output instanceof KeeperOutput.IntentLost m) {
             return Optional.of(new RouterInput.IntentLost(m.winner()));
+        } else if (output instanceof KeeperOutput.MoveChanged m) {
+            return Optional.of(new RouterInput.MoveChanged(m.move()));
         } else if (output instanceof KeeperOutput.IntentRefused m) {
             return Optional.of(new RouterInput.IntentRefused(m.key(), m.code()));
         }
--- a/router/src/main/java/org/bramleylatch/router/StreamedChat.java
+++ b/router/src/main/java/org/bramleylatch/router/StreamedChat.java
@@ -10,6 +10,8 @@
 
 /** Answers a chat as a stream of events. */
 final class StreamedChat extends Exchange {
+    private static final int WRITE_QUEUE_BYTES = 16 * 1024;
+
     private final String prefix;
     private boolean begun;
 
@@ -66,6 +68,7 @@
             begun = true;
             response()
                     .setChunked(true)
+                    .setWriteQueueMaxSize(WRITE_QUEUE_BYTES)
                     .putHeader("content-type", "text/event-stream")
                     .putHeader("cache-control", "no-cache");
         }
--- a/wire/src/test/java/org/bramleylatch/wire/WireEntryTest.java
+++ b/wire/src/test/java/org/bramleylatch/wire/WireEntryTest.java
@@ -9,10 +9,15 @@
 import org.bramleylatch.core.LedgerImage;
 import org.bramleylatch.core.LedgerRecord;
 import org.bramleylatch.core.LogEntry;
+import org.bramleylatch.core.MoveRow;
+import org.bramleylatch.core.MoveSpec;
 import org.bramleylatch.core.Numbered;
 import org.bramleylatch.core.RequestKey;
+import org.bramleylatch.core.RouteName;
 import org.bramleylatch.core.RunState;
+import org.bramleylatch.core.Tally;
 import org.bramleylatch.core.Usage;
+import org.bramleylatch.core.Version;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -21,6 +26,10 @@
     private static final BudgetId BUDGET = BudgetId.of("budget");
     private static final RequestKey KEY = RequestKey.of(1_700_000_000_000L, 77);
 
+    private static final MoveSpec SPEC =
+            new MoveSpec(
+                    RouteName.of("chat"), Version.of("v1"), Version.of("v2"), 9, List.of(10), 5);
+
     @ParameterizedTest
     @MethodSource("records")
     void aRecordIsReadAsItWasWritten(LedgerRecord record) {
@@ -39,6 +48,11 @@
                 new LedgerRecord.FrozenReleased(BUDGET, WRITER, "operators"),
                 new LedgerRecord.IntentDeclared(KEY, WRITER, BUDGET),
                 new LedgerRecord.IntentFinished(KEY, WRITER, RunState.RAN, 201, "{\"a\":1}"),
+                new LedgerRecord.MoveBegun(SPEC),
+                new LedgerRecord.MoveObserved(
+                        SPEC.route(), SPEC.to(), 1, new Tally(5, 1), Tally.empty(), true),
+                new LedgerRecord.MoveExpired(SPEC.route(), SPEC.to()),
+                new LedgerRecord.MoveTakenBack(SPEC.route(), "operators"),
                 new LedgerRecord.SnapshotPart(
                         7,
                         8,
@@ -47,6 +61,7 @@
                         9,
                         List.of(
                                 new LedgerImage.BudgetPart(BudgetRow.of(BUDGET).paid(5)),
+                                new LedgerImage.MovePart(MoveRow.of(SPEC, 3)),
                                 new LedgerImage.KeyPart(KEY))));
     }
 }
