Speak a compact codec on the links; bound open requests; measure capacity slopes

Cause: at the size to design for a daemon has 3 KB/s for control; five requests a second at 1,212 bytes each on the link would be 6 KB/s. And slow readers were bounded one by one but not all together. Change: links between own processes carry CBOR with parts by position; a router refuses as not run beyond 2,500 open requests; bench.CapacityMain measures slopes at three sizes each. Ruled out: shorter names in JSON, which would have reached the log and the operators' eyes.

--- /dev/null
+++ b/bench/src/main/java/org/bramleylatch/bench/CapacityMain.java
@@ -0,0 +1,221 @@
+package org.bramleylatch.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntToDoubleFunction;
+import org.bramleylatch.core.AttemptId;
+import org.bramleylatch.core.BudgetId;
+import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.GrantKey;
+import org.bramleylatch.core.GrantPolicy;
+import org.bramleylatch.core.Incarnation;
+import org.bramleylatch.core.KeeperInput;
+import org.bramleylatch.core.KeeperLimits;
+import org.bramleylatch.core.KeeperOutput;
+import org.bramleylatch.core.KeeperSystems;
+import org.bramleylatch.core.KeeperWorld;
+import org.bramleylatch.core.Ledger;
+import org.bramleylatch.core.LedgerFeed;
+import org.bramleylatch.core.LedgerFold;
+import org.bramleylatch.core.LedgerRecord;
+import org.bramleylatch.core.LogEntry;
+import org.bramleylatch.core.Numbered;
+import org.bramleylatch.core.RequestKey;
+import org.bramleylatch.core.Schedule;
+import org.bramleylatch.core.SnapshotAssembly;
+import org.bramleylatch.core.Usage;
+import org.bramleylatch.edge.FromKeeper;
+import org.bramleylatch.edge.ToKeeper;
+import org.bramleylatch.wire.Compact;
+import org.bramleylatch.wire.WireEntry;
+
+/**
+ * Measures the slopes for docs/CAPACITY.md at three sizes each: what a keeper's requests and
+ * records cost in processor time, and the bytes on the link and in the log.
+ */
+public final class CapacityMain {
+    private static final int[] REQUESTS = {20_000, 40_000, 80_000};
+    private static final int[] RECORDS = {50_000, 100_000, 200_000};
+    private static final int[] BUDGETS = {1_000, 2_000, 4_000};
+    private static final int[] BATCH = {1, 10, 100};
+    private static final long START_MILLIS = 1_700_000_000_000L;
+    private static final Incarnation KEEPER =
+            Incarnation.of("keeper@langnau-vm-1-0123456789abcdef");
+    private static final Incarnation ROUTER =
+            Incarnation.of("router@langnau-vm-1-0123456789abcdef");
+    private static final int ROUNDS = 3;
+
+    private long sequence;
+
+    private CapacityMain() {}
+
+    /** Prints each slope with its fit. */
+    public static void main(String[] arguments) {
+        CapacityMain capacity = new CapacityMain();
+        print("keeper, reserve to settled, us a request", REQUESTS, capacity::requestMicros);
+        print("any reader, decode and fold, us a record", RECORDS, capacity::recordMicros);
+        print("log, usage, bytes a request", BATCH, capacity::usageBytes);
+        print("snapshot, bytes a budget with a grant", BUDGETS, capacity::snapshotBytes);
+        print("link, bytes a request, both ways", BATCH, capacity::linkBytes);
+    }
+
+    private static void print(String name, int[] sizes, IntToDoubleFunction measure) {
+        List<Fit.Point> points = new ArrayList<>();
+        for (int size : sizes) {
+            double best = Double.MAX_VALUE;
+            for (int round = 0; round < ROUNDS; round++) {
+                best = Math.min(best, measure.applyAsDouble(size));
+            }
+            points.add(new Fit.Point(size, best));
+        }
+        Fit fit = Fit.of(points);
+        System.out.printf(
+                "%-44s %.2f each, %.0f fixed, residual %.1f%%  %s%n",
+                name, fit.slope(), fit.base(), fit.residual() * 100, points);
+    }
+
+    private double requestMicros(int requests) {
+        KeeperWorld world = KeeperWorld.of(KEEPER);
+        Schedule<KeeperWorld> schedule =
+                KeeperSystems.schedule(
+                        GrantPolicy.byDemand(2, 4_000),
+                        KeeperLimits.standard().withSnapshotEvery(Integer.MAX_VALUE / 2));
+        List<LogEntry> log = new ArrayList<>();
+        BudgetId budget = BudgetId.of("member-1");
+        Incarnation operator = Incarnation.of("operator");
+        append(
+                log,
+                operator,
+                List.of(
+                        new Numbered(1, new LedgerRecord.BudgetCreated(budget, "w")),
+                        new Numbered(2, new LedgerRecord.BudgetToppedUp(budget, key(), 1L << 50))));
+        world.inbox().add(new KeeperInput.FromLog(new LedgerFeed.EntriesRead(log)));
+        long begin = System.nanoTime();
+        for (int number = 0; number < requests; number++) {
+            RequestKey key = key();
+            long nowMillis = START_MILLIS + number * 20L;
+            world.inbox().add(new KeeperInput.ReserveAsked(ROUTER, key, budget, 1_000));
+            tick(world, schedule, log, nowMillis);
+            world.inbox()
+                    .add(
+                            new KeeperInput.UsageGiven(
+                                    ROUTER, GrantKey.of(budget, KEEPER), Usage.of(key, 500)));
+            tick(world, schedule, log, nowMillis + 10);
+        }
+        return (System.nanoTime() - begin) / 1e3;
+    }
+
+    private static void tick(
+            KeeperWorld world, Schedule<KeeperWorld> schedule, List<LogEntry> log, long millis) {
+        schedule.tick(world, millis);
+        for (KeeperOutput output : world.outbox().take(Integer.MAX_VALUE)) {
+            if (output instanceof KeeperOutput.AppendBatch batch) {
+                int from = log.size();
+                append(log, KEEPER, batch.records());
+                List<LogEntry> fresh = List.copyOf(log.subList(from, log.size()));
+                world.inbox().add(new KeeperInput.FromLog(new LedgerFeed.EntriesRead(fresh)));
+            }
+        }
+    }
+
+    private static void append(List<LogEntry> log, Incarnation writer, List<Numbered> records) {
+        for (Numbered record : records) {
+            log.add(
+                    new LogEntry(
+                            log.size(), START_MILLIS, writer, record.sequence(), record.record()));
+        }
+    }
+
+    private double recordMicros(int records) {
+        BudgetId budget = BudgetId.of("member-1");
+        Ledger ledger = Ledger.empty();
+        LedgerFold fold = LedgerFold.of(ledger);
+        List<String> lines = new ArrayList<>(records);
+        for (int number = 0; number < records; number++) {
+            LedgerRecord record =
+                    new LedgerRecord.UsageReported(budget, KEEPER, List.of(Usage.of(key(), 500)));
+            lines.add(WireEntry.encode(KEEPER, new Numbered(number + 1, record)));
+        }
+        long begin = System.nanoTime();
+        for (int number = 0; number < records; number++) {
+            fold.apply(WireEntry.decode(number, START_MILLIS, lines.get(number)));
+        }
+        return (System.nanoTime() - begin) / 1e3;
+    }
+
+    private double usageBytes(int requests) {
+        List<Usage> usages = new ArrayList<>();
+        for (int number = 0; number < requests; number++) {
+            usages.add(Usage.of(key(), 1_234));
+        }
+        LedgerRecord record =
+                new LedgerRecord.UsageReported(BudgetId.of("member-123456"), KEEPER, usages);
+        return WireEntry.encode(KEEPER, new Numbered(123_456, record)).length();
+    }
+
+    private double snapshotBytes(int budgets) {
+        Ledger ledger = Ledger.empty();
+        LedgerFold fold = LedgerFold.of(ledger);
+        List<LogEntry> log = new ArrayList<>();
+        for (int number = 0; number < budgets; number++) {
+            BudgetId budget = BudgetId.of("member-" + number);
+            append(
+                    log,
+                    KEEPER,
+                    List.of(
+                            new Numbered(
+                                    3L * number + 1, new LedgerRecord.BudgetCreated(budget, "w")),
+                            new Numbered(
+                                    3L * number + 2,
+                                    new LedgerRecord.BudgetToppedUp(budget, key(), 1_000_000)),
+                            new Numbered(
+                                    3L * number + 3,
+                                    new LedgerRecord.GrantAsked(budget, KEEPER, 5_000, 0, 5_000))));
+        }
+        log.forEach(fold::apply);
+        return SnapshotAssembly.split(ledger.image()).stream()
+                .mapToLong(part -> WireEntry.encode(KEEPER, new Numbered(1, part)).length())
+                .sum();
+    }
+
+    private double linkBytes(int requests) {
+        double bytes = 0;
+        for (int number = 0; number < requests; number++) {
+            bytes += linkBytes();
+        }
+        return bytes;
+    }
+
+    private double linkBytes() {
+        RequestKey key = key();
+        BudgetId budget = BudgetId.of("member-123456");
+        GrantKey grant = GrantKey.of(budget, KEEPER);
+        List<Object> messages =
+                List.of(
+                        toKeeper(new KeeperInput.ReserveAsked(ROUTER, key, budget, 4_000)),
+                        toKeeper(
+                                new KeeperInput.AttemptNoted(
+                                        ROUTER,
+                                        key,
+                                        AttemptId.of("0123456789abcdef"),
+                                        EndpointId.of("seilhelfer-17"))),
+                        toKeeper(new KeeperInput.UsageGiven(ROUTER, grant, Usage.of(key, 1_234))),
+                        fromKeeper(new KeeperOutput.ReserveGranted(ROUTER, key, grant)),
+                        fromKeeper(new KeeperOutput.UsageHeld(ROUTER, key)),
+                        fromKeeper(new KeeperOutput.UsageDurable(ROUTER, key)));
+        return messages.stream().mapToLong(message -> Compact.write(message).length).sum();
+    }
+
+    private static Object toKeeper(KeeperInput message) {
+        return new ToKeeper(START_MILLIS << 16, message);
+    }
+
+    private static Object fromKeeper(KeeperOutput message) {
+        return new FromKeeper(START_MILLIS << 16, message);
+    }
+
+    private RequestKey key() {
+        sequence++;
+        return RequestKey.of(START_MILLIS, sequence * 0x9E3779B97F4A7C15L);
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -128,9 +128,10 @@
         if (world.requestsByKey().has(spec.key()) || world.settlements().has(spec.key())) {
             return Optional.of(ResultCode.INTENT_IN_PROGRESS);
         }
-        return world.queued().size() >= limits.mostQueued()
-                ? Optional.of(ResultCode.OVERLOADED)
-                : Optional.empty();
+        boolean full =
+                world.requests().size() >= limits.mostOpen()
+                        || world.queued().size() >= limits.mostQueued();
+        return full ? Optional.of(ResultCode.OVERLOADED) : Optional.empty();
     }
 
     private void refuseUnknown(RequestRow row, ResultCode code) {
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -3,6 +3,7 @@
 /**
  * Bounds what a router does.
  *
+ * @param mostOpen the most requests that may be on their way, slow readers included
  * @param mostQueued the most requests that may wait for an endpoint
  * @param mostAttempts the most attempts of one request
  * @param reserveMillis how long to wait for a keeper's answer
@@ -14,6 +15,7 @@
  * @param retryPermille how many retries a route may add to its requests, in thousandths
  */
 public record RouterLimits(
+        int mostOpen,
         int mostQueued,
         int mostAttempts,
         long reserveMillis,
@@ -26,6 +28,6 @@
 
     /** Returns the limits for the sizes of today. */
     public static RouterLimits standard() {
-        return new RouterLimits(500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250);
+        return new RouterLimits(2_500, 500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250);
     }
 }
--- a/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
@@ -303,6 +303,16 @@
                 .containsExactly(new Tally(0, 1));
     }
 
+    @Test
+    void aRouterThatHoldsAllItMayRefusesFurtherRequestsAsNotRun() {
+        for (int number = 0; number <= RouterLimits.standard().mostOpen(); number++) {
+            router.arrive(RouterCase.CHAT, 1, 1);
+        }
+        assertThat(router.all(Refuse.class)).hasSize(1);
+        assertThat(refusal().code()).isEqualTo(ResultCode.OVERLOADED);
+        assertThat(refusal().ran()).isEqualTo(RunState.NOT_RUN);
+    }
+
     private void breakOff() {
         for (int tries = 0; tries < RouterLimits.standard().mostAttempts(); tries++) {
             AttemptId latest = router.last(StartAttempt.class).orElseThrow().attempt();
--- a/edge/src/main/java/org/bramleylatch/edge/KeeperProtocol.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperProtocol.java
@@ -7,7 +7,7 @@
 import io.vertx.grpc.common.ServiceName;
 
 /**
- * Names the gRPC method between routers and keepers: one stream each way, of JSON messages. The
+ * Names the gRPC method between routers and keepers: one stream each way, of compact messages. The
  * first message of each side is a hello.
  */
 public final class KeeperProtocol {
--- a/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
@@ -17,7 +17,7 @@
 import org.bramleylatch.edge.HybridClock;
 import org.bramleylatch.edge.KeeperProtocol;
 import org.bramleylatch.edge.ToKeeper;
-import org.bramleylatch.wire.Json;
+import org.bramleylatch.wire.Compact;
 
 /** Serves the links of routers; each is one gRPC call with a stream each way. */
 final class RouterLinks {
@@ -57,7 +57,7 @@
 
     private void write(GrpcServerRequest<Buffer, Buffer> link, KeeperOutput output) {
         FromKeeper message = new FromKeeper(order.next(), output);
-        link.response().write(Buffer.buffer(Json.writeBytes(message)));
+        link.response().write(Buffer.buffer(Compact.write(message)));
     }
 
     private void accept(GrpcServerRequest<Buffer, Buffer> call) {
@@ -99,9 +99,9 @@
 
         void take(Buffer bytes) {
             if (router.isEmpty()) {
-                greet(Json.read(bytes.toString(), Hello.class));
+                greet(Compact.read(bytes.getBytes(), Hello.class));
             } else {
-                ToKeeper message = Json.read(bytes.toString(), ToKeeper.class);
+                ToKeeper message = Compact.read(bytes.getBytes(), ToKeeper.class);
                 order.seen(message.order());
                 world.accept(message.message());
             }
@@ -118,7 +118,7 @@
             router = Optional.of(hello.incarnation());
             links.put(hello.incarnation(), call);
             Hello answer = new Hello(self, order.next());
-            call.response().write(Buffer.buffer(Json.writeBytes(answer)));
+            call.response().write(Buffer.buffer(Compact.write(answer)));
             world.accept(new KeeperInput.RouterSeen(hello.incarnation()));
         }
     }
--- a/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
+++ b/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
@@ -21,7 +21,7 @@
 import org.bramleylatch.edge.KeeperProtocol;
 import org.bramleylatch.edge.ToKeeper;
 import org.bramleylatch.wire.Address;
-import org.bramleylatch.wire.Json;
+import org.bramleylatch.wire.Compact;
 
 /** Keeps a link to every keeper of the zone; a broken link is opened again. */
 final class KeeperLinks {
@@ -62,7 +62,7 @@
     }
 
     private static Buffer buffer(Object message) {
-        return Buffer.buffer(Json.writeBytes(message));
+        return Buffer.buffer(Compact.write(message));
     }
 
     private static Optional<RouterInput> translate(Incarnation keeper, KeeperOutput output) {
@@ -122,13 +122,13 @@
 
         private void take(GrpcClientRequest<Buffer, Buffer> request, Buffer bytes) {
             if (keeper.isEmpty()) {
-                Hello hello = Json.read(bytes.toString(), Hello.class);
+                Hello hello = Compact.read(bytes.getBytes(), Hello.class);
                 order.seen(hello.order());
                 keeper = Optional.of(hello.incarnation());
                 links.put(hello.incarnation(), request);
                 inbox.accept(new RouterInput.KeeperUp(hello.incarnation()));
             } else {
-                FromKeeper message = Json.read(bytes.toString(), FromKeeper.class);
+                FromKeeper message = Compact.read(bytes.getBytes(), FromKeeper.class);
                 order.seen(message.order());
                 translate(keeper.get(), message.message()).ifPresent(inbox);
             }
--- a/wire/src/main/java/org/bramleylatch/wire/Json.java
+++ b/wire/src/main/java/org/bramleylatch/wire/Json.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.cfg.MapperBuilder;
 import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
@@ -128,16 +129,19 @@
     }
 
     private static ObjectMapper mapper() {
-        JsonMapper.Builder builder =
-                JsonMapper.builder()
-                        .addModule(new Jdk8Module())
-                        .addModule(keyModule())
-                        .serializationInclusion(JsonInclude.Include.NON_ABSENT)
-                        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        return configure(JsonMapper.builder()).build();
+    }
+
+    /** Teaches a mapper of any encoding the types of core. */
+    static <B extends MapperBuilder<?, B>> B configure(B builder) {
+        builder.addModule(new Jdk8Module())
+                .addModule(keyModule())
+                .serializationInclusion(JsonInclude.Include.NON_ABSENT)
+                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
         IDS.forEach(id -> builder.addMixIn(id, IdMixIn.class));
         FAMILIES.forEach(family -> builder.addMixIn(family, FamilyMixIn.class));
         FAMILIES.forEach(family -> register(builder, family));
-        return builder.build();
+        return builder;
     }
 
     private static SimpleModule keyModule() {
@@ -146,7 +150,7 @@
                 .addDeserializer(RequestKey.class, new KeyReader());
     }
 
-    private static void register(JsonMapper.Builder builder, Class<?> family) {
+    private static void register(MapperBuilder<?, ?> builder, Class<?> family) {
         for (Class<?> type : family.getPermittedSubclasses()) {
             builder.registerSubtypes(new NamedType(type, type.getSimpleName()));
         }
