--- a/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
+++ b/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
@@ -67,7 +67,7 @@
                         this::carry);
         this.accounts =
                 new AccountStream(platform, self, feed -> loop.offer(new AdminInput.FromLog(feed)));
-        this.sections = new Sections(vertx, platform);
+        this.sections = new Sections(vertx, platform, clock);
     }
 
     /** Starts the API; the future fails with PORT_IN_USE if the port is taken. */
--- a/admin/src/main/java/org/bramleylatch/admin/Sections.java
+++ b/admin/src/main/java/org/bramleylatch/admin/Sections.java
@@ -2,6 +2,7 @@
 
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.vertx.core.Vertx;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,11 +10,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.bramleylatch.core.RequestKey;
 import org.bramleylatch.core.ResultException;
-import org.bramleylatch.edge.LogFollower;
-import org.bramleylatch.edge.LogPage;
+import org.bramleylatch.edge.ConfigStream;
 import org.bramleylatch.edge.PlatformClient;
 import org.bramleylatch.edge.Streams;
 import org.bramleylatch.wire.ConfigDocument;
+import org.bramleylatch.wire.ConfigReader;
 import org.bramleylatch.wire.ConfigRecord;
 import org.bramleylatch.wire.ConfigRecord.SectionProposed;
 import org.bramleylatch.wire.Json;
@@ -24,26 +25,31 @@
  */
 final class Sections {
     private static final long APPEND_RETRY_MILLIS = 500;
+    private static final long SNAPSHOT_EVERY_MILLIS = 10 * 60 * 1_000;
+    private static final long SNAPSHOT_CHECK_MILLIS = 60 * 1_000;
 
     private final Vertx vertx;
     private final PlatformClient platform;
-    private final ConfigDocument document = ConfigDocument.empty();
+    private final InstantSource clock;
+    private final ConfigStream stream;
     private final Map<RequestKey, CompletableFuture<Long>> calls = new HashMap<>();
 
-    Sections(Vertx vertx, PlatformClient platform) {
+    Sections(Vertx vertx, PlatformClient platform, InstantSource clock) {
         this.vertx = vertx;
         this.platform = platform;
+        this.clock = clock;
+        this.stream = new ConfigStream(platform);
     }
 
     /** Returns the accepted document as far as it was read. */
     ConfigDocument document() {
-        return document;
+        return stream.reader().document();
     }
 
-    /** Reads the configuration stream without end. */
+    /** Reads the configuration stream without end and keeps a recent snapshot in it. */
     Cancellable follow() {
-        return new LogFollower(platform, Streams.CONFIGURATION)
-                .follow(document::nextOffset, this::take, code -> {});
+        vertx.setPeriodic(SNAPSHOT_CHECK_MILLIS, id -> snapshotIfDue());
+        return stream.follow(newer -> {}, this::judge);
     }
 
     /**
@@ -52,7 +58,7 @@
      * @return the new revision; fails with the code with which the fold refuses the change
      */
     CompletableFuture<Long> propose(SectionProposed proposal) {
-        Optional<ConfigDocument.Verdict> refusal = document.check(proposal);
+        Optional<ConfigDocument.Verdict> refusal = document().check(proposal);
         if (refusal.isPresent()) {
             return ResultException.failed(refusal.get().code(), refusal.get().detail());
         }
@@ -74,15 +80,17 @@
         return ConfigDocument.NO_REVISION;
     }
 
-    private void take(LogPage page) {
-        page.records().forEach(this::fold);
+    private void snapshotIfDue() {
+        long age = clock.millis() - stream.reader().snapshotMillis();
+        if (age >= SNAPSHOT_EVERY_MILLIS && document().nextOffset() > 0) {
+            ConfigRecord snapshot = document().snapshot();
+            platform.append(Streams.CONFIGURATION, List.of(Json.write(snapshot)));
+        }
     }
 
-    private void fold(LogPage.Item item) {
-        SectionProposed proposal = Json.read(item.d(), SectionProposed.class);
-        Optional<ConfigDocument.Verdict> refusal = document.apply(item.o(), proposal);
-        Optional.ofNullable(calls.remove(proposal.key()))
-                .ifPresent(call -> settle(call, item.o(), refusal));
+    private void judge(ConfigReader.Judged judged) {
+        Optional.ofNullable(calls.remove(judged.proposal().key()))
+                .ifPresent(call -> settle(call, judged.offset(), judged.refusal()));
     }
 
     private static void settle(
--- a/core/src/main/java/org/bramleylatch/core/AdminWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/AdminWorld.java
@@ -89,10 +89,19 @@
         if (newer) {
             ledger = Ledger.of(loaded.image());
             fold = LedgerFold.of(ledger);
+            long taken = ledger.writers().find(self).map(WriterRow::sequence).orElse(0L);
+            writer.inFlightUpTo(taken).forEach(this::loseVerdict);
         }
         return newer;
     }
 
+    /** Tells a call whose record lies within a snapshot that its verdict can't be known. */
+    private void loseVerdict(Numbered numbered) {
+        writer.readBack(numbered.sequence());
+        Optional<ResultCode> unknown = Optional.of(ResultCode.OUTCOME_UNKNOWN);
+        outbox.add(new AdminOutput.Judged(calls.remove(), unknown));
+    }
+
     private boolean acknowledge(LedgerFeed.AppendDone done) {
         writer.appended(done.lastSequence());
         return true;
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -11,7 +11,8 @@
  * @param orphanRetryMillis how long to wait before an endpoint is asked again
  * @param reviewMillis how often every holding is looked at
  * @param mostRecords the most records in one append
- * @param snapshotEveryRecords how many records lie between two snapshots
+ * @param snapshotEveryRecords how many records lie between two snapshots at the most
+ * @param snapshotEveryMillis how much time lies between two snapshots at the most
  */
 public record KeeperLimits(
         long reserveWaitMillis,
@@ -22,11 +23,12 @@
         long orphanRetryMillis,
         long reviewMillis,
         int mostRecords,
-        int snapshotEveryRecords) {
+        int snapshotEveryRecords,
+        long snapshotEveryMillis) {
 
     /** Returns the limits for the sizes of today. */
     public static KeeperLimits standard() {
-        return new KeeperLimits(1_500, 2_000, 50, 250, 30_000, 1_000, 5_000, 500, 20_000);
+        return new KeeperLimits(1_500, 2_000, 50, 250, 30_000, 1_000, 5_000, 500, 20_000, 600_000);
     }
 
     /** Returns the limits with another distance between snapshots. */
@@ -40,7 +42,8 @@
                 orphanRetryMillis,
                 reviewMillis,
                 mostRecords,
-                records);
+                records,
+                snapshotEveryMillis);
     }
 
     /** Returns the limits with another time for callers to retry, in milliseconds. */
@@ -54,6 +57,7 @@
                 orphanRetryMillis,
                 reviewMillis,
                 mostRecords,
-                snapshotEveryRecords);
+                snapshotEveryRecords,
+                snapshotEveryMillis);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimer.java
@@ -18,6 +18,9 @@
     /** The deadline of a route's move has come. */
     record MoveDeadline(RouteName route) implements KeeperTimer {}
 
+    /** A snapshot is due unless another keeper took one. */
+    record SnapshotDue() implements KeeperTimer {}
+
     /** The holdings are due to be looked at. */
     record Review() implements KeeperTimer {}
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
@@ -8,6 +8,7 @@
 import org.bramleylatch.core.KeeperTimer.OrphanRetry;
 import org.bramleylatch.core.KeeperTimer.ReserveWait;
 import org.bramleylatch.core.KeeperTimer.Review;
+import org.bramleylatch.core.KeeperTimer.SnapshotDue;
 
 /** Acts on the deadlines that have passed. */
 record KeeperTimers(KeeperLimits limits) implements TickSystem<KeeperWorld> {
@@ -21,6 +22,7 @@
                         .on(IntentWait.class, due -> giveUp(world, due.key()))
                         .on(OrphanRetry.class, due -> ask(world, due, nowMillis))
                         .on(MoveDeadline.class, due -> expire(world, due, nowMillis))
+                        .on(SnapshotDue.class, due -> true)
                         .on(AppendDue.class, due -> true)
                         .on(Review.class, due -> review(world, due, nowMillis));
         world.timers().takeDue(nowMillis).forEach(handlers::apply);
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -25,6 +25,7 @@
     private Ledger ledger = Ledger.empty();
     private LedgerFold fold = LedgerFold.of(ledger);
     private long snapshotOffset;
+    private long snapshotMillis;
     private boolean logReachable;
     private boolean stopping;
 
@@ -135,6 +136,14 @@
         logReachable = reachable;
     }
 
+    long snapshotMillis() {
+        return snapshotMillis;
+    }
+
+    void setSnapshotMillis(long millis) {
+        snapshotMillis = millis;
+    }
+
     long snapshotOffset() {
         return snapshotOffset;
     }
--- a/core/src/main/java/org/bramleylatch/core/ReadBack.java
+++ b/core/src/main/java/org/bramleylatch/core/ReadBack.java
@@ -57,6 +57,7 @@
     private static void touch(KeeperWorld world, LedgerRecord record) {
         if (record instanceof LedgerRecord.SnapshotPart part) {
             world.setSnapshotOffset(part.nextOffset());
+            world.setSnapshotMillis(0);
             return;
         }
         if (record instanceof GrantAsked asked) {
--- a/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
@@ -1,28 +1,50 @@
 package org.bramleylatch.core;
 
 /**
- * Puts a snapshot of the ledger into the log once enough records have come since the last one.
- * Keepers take turns by chance: each adds its own distance, and the first spares the others.
+ * Puts a snapshot of the ledger into the log once enough records or enough time have come since the
+ * last one. Keepers take turns by chance: each adds its own distance, and the first spares the
+ * others.
  */
 record SnapshotSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
+    private static final int SPREAD_PARTS = 1_000;
+    private static final double MOST_SPREAD = 0.25;
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
-        long due = world.snapshotOffset() + limits.snapshotEveryRecords() + distance(world);
-        if (world.isLogReachable() && world.ledger().nextOffset() >= due) {
-            take(world);
+        if (world.ledger().nextOffset() == 0) {
+            return;
         }
+        long dueMillis = world.snapshotMillis() + spread(world, limits.snapshotEveryMillis());
+        long dueOffset = world.snapshotOffset() + spread(world, limits.snapshotEveryRecords());
+        boolean due = nowMillis >= dueMillis || world.ledger().nextOffset() >= dueOffset;
+        if (world.isLogReachable() && due && world.snapshotMillis() > 0) {
+            take(world, nowMillis);
+        } else if (world.snapshotMillis() == 0) {
+            world.setSnapshotMillis(nowMillis);
+        }
+        arm(world);
     }
 
-    private static void take(KeeperWorld world) {
+    private static void take(KeeperWorld world, long nowMillis) {
         LedgerImage image = world.ledger().image();
         SnapshotAssembly.split(image).forEach(world::append);
         world.setSnapshotOffset(image.nextOffset());
+        world.setSnapshotMillis(nowMillis);
         world.note(EventKind.SNAPSHOT_TAKEN, world.self(), "nextOffset=" + image.nextOffset());
     }
 
-    private long distance(KeeperWorld world) {
-        int spread = Math.max(1, limits.snapshotEveryRecords() / 4);
-        return Math.floorMod(world.self().hashCode(), spread);
+    private void arm(KeeperWorld world) {
+        KeeperTimer timer = new KeeperTimer.SnapshotDue();
+        long dueMillis = world.snapshotMillis() + spread(world, limits.snapshotEveryMillis());
+        if (world.isLogReachable()) {
+            world.timers().set(timer, dueMillis);
+        } else {
+            world.timers().clear(timer);
+        }
+    }
+
+    private static long spread(KeeperWorld world, long distance) {
+        double part = Math.floorMod(world.self().hashCode(), SPREAD_PARTS) / (double) SPREAD_PARTS;
+        return distance + Math.round(distance * MOST_SPREAD * part);
     }
 }
--- a/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
@@ -3,37 +3,55 @@
 import static java.util.Objects.requireNonNull;
 
 import io.smallrye.mutiny.subscription.Cancellable;
+import java.util.List;
 import java.util.function.Consumer;
 import org.bramleylatch.core.Configuration;
-import org.bramleylatch.wire.ConfigDocument;
-import org.bramleylatch.wire.ConfigRecord;
-import org.bramleylatch.wire.Json;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.wire.ConfigReader;
 
-/** Reads the configuration stream and tells of each newer configuration. */
+/** Reads the configuration stream and tells of each newer configuration and each verdict. */
 public final class ConfigStream {
     private final PlatformClient platform;
-    private final ConfigDocument document = ConfigDocument.empty();
+    private final ConfigReader reader = ConfigReader.atStart();
 
     /** Makes a reader; nothing is read yet. */
     public ConfigStream(PlatformClient platform) {
         this.platform = requireNonNull(platform);
     }
 
-    /** Reads without end; the consumer gets each accepted configuration. */
-    public Cancellable follow(Consumer<Configuration> newer) {
+    /** Returns what was read so far. */
+    public ConfigReader reader() {
+        return reader;
+    }
+
+    /**
+     * Reads without end.
+     *
+     * @param newer gets each accepted configuration
+     * @param verdicts gets each proposal with the fold's verdict
+     */
+    public Cancellable follow(
+            Consumer<Configuration> newer, Consumer<ConfigReader.Judged> verdicts) {
         return new LogFollower(platform, Streams.CONFIGURATION)
-                .follow(document::nextOffset, page -> take(page, newer), code -> {});
+                .follow(reader::readOffset, page -> take(page, newer, verdicts), this::failed);
     }
 
-    private void take(LogPage page, Consumer<Configuration> newer) {
-        long before = document.configuration().revision();
-        page.records().forEach(this::apply);
-        if (document.configuration().revision() > before) {
-            newer.accept(document.configuration());
+    private void failed(ResultCode code) {
+        if (code == ResultCode.LOG_POSITION_EXPIRED) {
+            reader.expired();
         }
     }
 
-    private void apply(LogPage.Item item) {
-        document.apply(item.o(), Json.read(item.d(), ConfigRecord.SectionProposed.class));
+    private void take(
+            LogPage page, Consumer<Configuration> newer, Consumer<ConfigReader.Judged> verdicts) {
+        long before = reader.document().configuration().revision();
+        for (LogPage.Item item : page.records()) {
+            List<ConfigReader.Judged> judged =
+                    reader.take(page.earliest(), item.o(), item.t(), item.d());
+            judged.forEach(verdicts);
+        }
+        if (reader.document().configuration().revision() > before) {
+            newer.accept(reader.document().configuration());
+        }
     }
 }
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -92,7 +92,9 @@
     private Daemon.Running begin() {
         timeline.write(Event.of(EventKind.PROCESS_STARTED, self, "zone=" + settings.zone()));
         Cancellable following =
-                configuration.follow(newer -> loop.offer(new RouterInput.ConfigurationSeen(newer)));
+                configuration.follow(
+                        newer -> loop.offer(new RouterInput.ConfigurationSeen(newer)),
+                        verdict -> {});
         endpoints.begin();
         keepers.begin();
         return () -> stop(following);
--- a/wire/src/main/java/org/bramleylatch/wire/ConfigDocument.java
+++ b/wire/src/main/java/org/bramleylatch/wire/ConfigDocument.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.bramleylatch.core.Configuration;
+import org.bramleylatch.core.KeyWindow;
 import org.bramleylatch.core.MemberRow;
-import org.bramleylatch.core.RequestKey;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.RouteRow;
 
@@ -29,9 +29,10 @@
     private static final Schema ROUTES_SCHEMA = Schema.of("routes.schema.json");
 
     private final Map<String, Section> sections = new TreeMap<>();
-    private final Set<RequestKey> taken = new HashSet<>();
+    private final KeyWindow taken = KeyWindow.empty();
     private Configuration configuration = Configuration.empty();
     private long nextOffset;
+    private long logMillis;
 
     private ConfigDocument() {}
 
@@ -41,15 +42,20 @@
     }
 
     /**
-     * Folds the proposal at the given offset.
+     * Folds the proposal at the given offset and time of the log, in milliseconds.
      *
      * @return why it was refused, or empty if it was accepted
      */
-    public Optional<Verdict> apply(long offset, ConfigRecord.SectionProposed proposal) {
+    public Optional<Verdict> apply(
+            long offset, long timeMillis, ConfigRecord.SectionProposed proposal) {
         if (offset < nextOffset) {
             return Optional.of(Verdict.of(ResultCode.RECORD_REPEATED, "offset " + offset));
         }
-        nextOffset = offset + 1;
+        advance(offset, timeMillis);
+        if (KeyWindow.isExpired(proposal.key(), logMillis)) {
+            String detail = proposal.section() + ": the key is too old";
+            return Optional.of(Verdict.of(ResultCode.IDEMPOTENCY_KEY_EXPIRED, detail));
+        }
         if (!taken.add(proposal.key())) {
             return Optional.of(Verdict.of(ResultCode.RECORD_REPEATED, proposal.section()));
         }
@@ -60,6 +66,35 @@
         return refusal;
     }
 
+    /** Notes a record that changes nothing. */
+    public void advance(long offset, long timeMillis) {
+        nextOffset = Math.max(nextOffset, offset + 1);
+        logMillis = Math.max(logMillis, timeMillis);
+        taken.expire(logMillis);
+    }
+
+    /** Returns the record that carries the document as it is now. */
+    public ConfigRecord.DocumentSnapshot snapshot() {
+        return new ConfigRecord.DocumentSnapshot(
+                nextOffset, logMillis, List.copyOf(sections.values()), taken.keys().toList());
+    }
+
+    /** Takes a snapshot's place; returns false if the snapshot is older than the document. */
+    public boolean load(ConfigRecord.DocumentSnapshot snapshot) {
+        if (snapshot.nextOffset() < nextOffset) {
+            return false;
+        }
+        sections.clear();
+        snapshot.sections().forEach(section -> sections.put(section.name(), section));
+        snapshot.keys().forEach(taken::add);
+        nextOffset = snapshot.nextOffset();
+        logMillis = snapshot.logMillis();
+        long revision =
+                sections.values().stream().mapToLong(Section::revision).max().orElse(NO_REVISION);
+        configuration = new Configuration(revision, members(sections), routes(sections));
+        return true;
+    }
+
     /** Returns why the proposal would be refused now, or empty if it would be accepted. */
     public Optional<Verdict> check(ConfigRecord.SectionProposed proposal) {
         Optional<Section> current = section(proposal.section());
@@ -99,11 +134,6 @@
         return nextOffset;
     }
 
-    /** Notes that the records before the offset were passed over. */
-    public void skipTo(long offset) {
-        nextOffset = Math.max(nextOffset, offset);
-    }
-
     private void accept(long offset, ConfigRecord.SectionProposed proposal) {
         sections.put(
                 proposal.section(),
--- a/wire/src/main/java/org/bramleylatch/wire/ConfigRecord.java
+++ b/wire/src/main/java/org/bramleylatch/wire/ConfigRecord.java
@@ -1,9 +1,10 @@
 package org.bramleylatch.wire;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
 import org.bramleylatch.core.RequestKey;
 
-/** Is one proposal in the configuration stream of the log. */
+/** Is one record in the configuration stream of the log. */
 public sealed interface ConfigRecord {
 
     /**
@@ -18,4 +19,25 @@
     record SectionProposed(
             String section, long expectedRevision, String owner, RequestKey key, JsonNode content)
             implements ConfigRecord {}
+
+    /**
+     * Carries the whole document as it is before an offset.
+     *
+     * @param nextOffset the first offset that is not included
+     * @param logMillis the time of the log at that offset, in milliseconds
+     * @param keys the keys of proposals that still count as taken
+     */
+    record DocumentSnapshot(
+            long nextOffset,
+            long logMillis,
+            List<ConfigDocument.Section> sections,
+            List<RequestKey> keys)
+            implements ConfigRecord {
+
+        /** Copies the lists. */
+        public DocumentSnapshot {
+            sections = List.copyOf(sections);
+            keys = List.copyOf(keys);
+        }
+    }
 }
--- a/wire/src/test/java/org/bramleylatch/wire/ConfigDocumentTest.java
+++ b/wire/src/test/java/org/bramleylatch/wire/ConfigDocumentTest.java
@@ -61,15 +61,15 @@
     @Test
     void aRepeatedProposalCountsOnce() {
         SectionProposed proposal = proposal("routes", -1, "ops", "[" + ROUTE + "]");
-        document.apply(0, proposal);
-        assertThat(document.apply(1, proposal).map(ConfigDocument.Verdict::code))
+        document.apply(0, 0, proposal);
+        assertThat(document.apply(1, 0, proposal).map(ConfigDocument.Verdict::code))
                 .contains(ResultCode.RECORD_REPEATED);
     }
 
     private Optional<ConfigDocument.Verdict> propose(
             String section, long revision, String owner, String content) {
         Optional<ConfigDocument.Verdict> verdict =
-                document.apply(offset, proposal(section, revision, owner, content));
+                document.apply(offset, 0, proposal(section, revision, owner, content));
         offset++;
         return verdict;
     }
