--- a/bench/src/main/java/org/bramleylatch/bench/Await.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Await.java
@@ -20,13 +20,14 @@
             if (System.nanoTime() > endNanos) {
                 throw new IllegalStateException("not within " + millis + " ms: " + what);
             }
-            pause();
+            quietly(PAUSE_MILLIS);
         }
     }
 
-    private static void pause() {
+    /** Lets the given time pass, in milliseconds. */
+    public static void quietly(long millis) {
         try {
-            Thread.sleep(PAUSE_MILLIS);
+            Thread.sleep(millis);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
--- a/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
@@ -23,6 +23,8 @@
  */
 public final class HoldMain {
     private static final long PAID_TOKENS = 1_000_000_000_000L;
+    private static final List<String> JVM_OPTIONS =
+            new ArrayList<>(List.of("-Xmx256m", "-XX:+UseSerialGC"));
     private static final int[] STREAMS = {0, 500, 1_000, 2_000};
     private static final int[] SLOW = {0, 500, 2_000};
     private static final int FAST = 50;
@@ -43,8 +45,9 @@
 
     private HoldMain() {}
 
-    /** Runs both measurements; the only argument names the folder for the files. */
+    /** Runs both measurements; the arguments are a folder for files, and further JVM options. */
     public static void main(String[] arguments) throws IOException {
+        JVM_OPTIONS.addAll(List.of(arguments).subList(1, arguments.length));
         Path folder = Files.createDirectories(Path.of(arguments[0]));
         for (int count : STREAMS) {
             new HoldMain().holdStreams(folder, count);
@@ -72,9 +75,9 @@
             open(router, count, true);
             Histogram gaps = new Histogram(3);
             List<HttpClientResponse> fast = open(router, FAST, false);
-            pause(FILL_MILLIS);
+            Await.quietly(FILL_MILLIS);
             fast.forEach(response -> record(response, gaps));
-            pause(FILL_MILLIS);
+            Await.quietly(FILL_MILLIS);
             System.out.printf(
                     "%d slow readers: router heap %.1f MiB, resident %.1f MiB, fast readers"
                             + " between tokens p50 %.1f ms p95 %.1f ms, engine holds %s%n",
@@ -89,7 +92,7 @@
 
     private static Deployment deployment(Path folder, String stepMillis, String wordBytes) {
         Deployment deployment =
-                Deployment.in(folder, List.of("-Xmx256m", "-XX:+UseSerialGC"))
+                Deployment.in(folder, JVM_OPTIONS)
                         .withEngine(
                                 "engine",
                                 "langnau",
@@ -166,12 +169,4 @@
                         .findFirst()
                         .orElseThrow();
     }
-
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/core/src/main/java/org/bramleylatch/core/AffinityPlacement.java
+++ b/core/src/main/java/org/bramleylatch/core/AffinityPlacement.java
@@ -7,29 +7,35 @@
 import java.util.Optional;
 
 /**
- * Chooses by load, own zone and prefix affinity: a prompt prefix has a preferred order of
- * endpoints, and the first of them is taken while it is not much fuller than the others.
+ * Chooses the endpoint that should give the first token soonest: the prompts that wait there, this
+ * prompt unless its prefix is thought to be cached, and a part of what the endpoint holds. A prefix
+ * has one preferred endpoint in a zone, on which routers agree without talking.
  */
 final class AffinityPlacement implements Placement {
-    private static final double OTHER_ZONE_COST = 0.25;
-    private static final double AFFINITY_GAIN = 0.2;
+    private static final double CACHED_PART = 0.1;
+    private static final double HELD_PART = 0.05;
+    private static final double OTHER_ZONE_TOKENS = 2_000;
+    private static final double OUTSTANDING_TOKENS = 30;
 
     @Override
     public Optional<EndpointRow> choose(RequestSpec spec, Zone zone, List<EndpointRow> candidates) {
-        Optional<EndpointRow> preferred =
+        Optional<EndpointId> preferred =
                 candidates.stream()
                         .filter(row -> row.zone().equals(zone))
-                        .max(Comparator.comparingLong(row -> weight(spec, row)));
+                        .max(Comparator.comparingLong(row -> weight(spec, row)))
+                        .map(EndpointRow::id);
         return candidates.stream()
                 .min(Comparator.comparingDouble(row -> cost(spec, zone, row, preferred)));
     }
 
+    /** Returns the work before the first token, in tokens of a prompt. */
     private static double cost(
-            RequestSpec spec, Zone zone, EndpointRow row, Optional<EndpointRow> preferred) {
-        double load = row.loadWith(spec.worstCaseTokens());
-        double distance = row.zone().equals(zone) ? 0 : OTHER_ZONE_COST;
-        double affinity = preferred.filter(row::equals).isPresent() ? AFFINITY_GAIN : 0;
-        return load + distance - affinity;
+            RequestSpec spec, Zone zone, EndpointRow row, Optional<EndpointId> preferred) {
+        boolean cached = preferred.filter(row.id()::equals).isPresent();
+        double prompt = spec.promptTokens() * (cached ? CACHED_PART : 1);
+        double distance = row.zone().equals(zone) ? 0 : OTHER_ZONE_TOKENS;
+        double busy = row.heldTokens() * HELD_PART + row.outstanding() * OUTSTANDING_TOKENS;
+        return row.unreadTokens() + prompt + busy + distance;
     }
 
     private static long weight(RequestSpec spec, EndpointRow row) {
--- a/core/src/main/java/org/bramleylatch/core/AttemptRow.java
+++ b/core/src/main/java/org/bramleylatch/core/AttemptRow.java
@@ -6,6 +6,7 @@
  * Is one running try of a request at an endpoint.
  *
  * @param heldTokens what the attempt may need in the endpoint's memory
+ * @param unreadTokens the length of the prompt until the first token comes, 0 from then on
  * @param nextPosition the position of the next token that is expected
  * @param startedMillis when the attempt was started
  * @param firstMillis when its first token came, 0 while none has
@@ -17,6 +18,7 @@
         RequestId request,
         EndpointId endpoint,
         long heldTokens,
+        long unreadTokens,
         long nextPosition,
         long startedMillis,
         long firstMillis,
@@ -30,6 +32,7 @@
                 request,
                 endpoint,
                 heldTokens,
+                0,
                 nextPosition + tokens,
                 startedMillis,
                 firstMillis == 0 ? nowMillis : firstMillis,
@@ -49,6 +52,7 @@
                 request,
                 endpoint,
                 heldTokens,
+                unreadTokens,
                 nextPosition,
                 startedMillis,
                 firstMillis,
--- a/core/src/main/java/org/bramleylatch/core/EndpointRow.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -1,13 +1,12 @@
 package org.bramleylatch.core;
 
-import java.util.Optional;
-
 /**
  * Is one endpoint as this router sees it.
  *
  * @param memoryTokens how many tokens the endpoint can hold at once; 0 for a plain service
  * @param leaving true once the endpoint or the platform's list says that it leaves
  * @param sentTokens what this router's running requests may need there
+ * @param unreadTokens the prompts of this router's requests that have given no token yet
  * @param outstanding how many of this router's requests run there
  * @param reportedTokens what the endpoint last said it holds for all routers
  * @param sentAtReportTokens what this router had there when that report came
@@ -22,6 +21,7 @@
         long memoryTokens,
         boolean leaving,
         long sentTokens,
+        long unreadTokens,
         int outstanding,
         long reportedTokens,
         long sentAtReportTokens,
@@ -34,7 +34,8 @@
     /** Returns an endpoint that nothing was sent to. */
     public static EndpointRow of(
             EndpointId id, String backEnd, Zone zone, Version version, long memoryTokens) {
-        return new EndpointRow(id, backEnd, zone, version, memoryTokens, false, 0, 0, 0, 0, 0, 0);
+        return new EndpointRow(
+                id, backEnd, zone, version, memoryTokens, false, 0, 0, 0, 0, 0, 0, 0);
     }
 
     /** Returns what the endpoint is thought to hold: its last report and what was sent since. */
@@ -47,30 +48,34 @@
         return memoryTokens == 0 || heldTokens() + tokens <= memoryTokens;
     }
 
-    /** Returns the filled part of the memory after a request of the given size, 1 for all. */
-    public double loadWith(long tokens) {
-        return memoryTokens == 0 ? outstanding : (heldTokens() + tokens) / (double) memoryTokens;
-    }
-
     /** Returns true if new work may be sent at the given time. */
     public boolean isOpen(long nowMillis) {
         return !leaving && nowMillis >= ejectedUntilMillis;
     }
 
-    /** Returns the endpoint after a request was sent (positive) or ended (negative). */
-    public EndpointRow sent(long tokens, int requests) {
-        return with(
-                leaving, sentTokens + tokens, outstanding + requests, failures, ejectedUntilMillis);
+    /** Returns the endpoint after a request with the given prompt was sent. */
+    public EndpointRow sent(long tokens, long promptTokens) {
+        return with(sentTokens + tokens, unreadTokens + promptTokens, outstanding + 1);
+    }
+
+    /** Returns the endpoint after a request gave its first token. */
+    public EndpointRow read(long promptTokens) {
+        return with(sentTokens, unreadTokens - promptTokens, outstanding);
+    }
+
+    /** Returns the endpoint after a request ended, of which a part of the prompt was unread. */
+    public EndpointRow ended(long tokens, long stillUnreadTokens) {
+        return with(sentTokens - tokens, unreadTokens - stillUnreadTokens, outstanding - 1);
     }
 
     /** Returns the endpoint as leaving or not. */
     public EndpointRow leaving(boolean isLeaving) {
-        return with(isLeaving, sentTokens, outstanding, failures, ejectedUntilMillis);
+        return with(isLeaving, failures, ejectedUntilMillis);
     }
 
     /** Returns the endpoint after an attempt went well. */
     public EndpointRow succeeded() {
-        return with(leaving, sentTokens, outstanding, 0, 0);
+        return with(leaving, 0, 0);
     }
 
     /** Returns the endpoint after an attempt failed; repeated failures keep new work away. */
@@ -78,7 +83,7 @@
         int count = failures + 1;
         int doublings = Math.min(MOST_DOUBLINGS, count - FAILURES_TO_EJECT);
         long until = count < FAILURES_TO_EJECT ? 0 : nowMillis + (EJECT_MILLIS << doublings);
-        return with(leaving, sentTokens, outstanding, count, until);
+        return with(leaving, count, until);
     }
 
     /** Returns the endpoint after it told what it holds. */
@@ -91,6 +96,7 @@
                 memoryTokens,
                 leaving,
                 sentTokens,
+                unreadTokens,
                 outstanding,
                 tokens,
                 sentTokens,
@@ -108,6 +114,7 @@
                 listing.memoryTokens,
                 listing.leaving || leaving,
                 sentTokens,
+                unreadTokens,
                 outstanding,
                 reportedTokens,
                 sentAtReportTokens,
@@ -115,13 +122,24 @@
                 ejectedUntilMillis);
     }
 
-    /** Returns the row if it still matters: it is listed, or requests run there. */
-    public Optional<EndpointRow> ifUsed(boolean isListed) {
-        return isListed || outstanding > 0 ? Optional.of(this) : Optional.empty();
+    private EndpointRow with(long tokens, long unread, int requests) {
+        return new EndpointRow(
+                id,
+                backEnd,
+                zone,
+                version,
+                memoryTokens,
+                leaving,
+                tokens,
+                unread,
+                requests,
+                reportedTokens,
+                sentAtReportTokens,
+                failures,
+                ejectedUntilMillis);
     }
 
-    private EndpointRow with(
-            boolean isLeaving, long tokens, int requests, int failed, long ejectedUntil) {
+    private EndpointRow with(boolean isLeaving, int failed, long ejectedUntil) {
         return new EndpointRow(
                 id,
                 backEnd,
@@ -129,8 +147,9 @@
                 version,
                 memoryTokens,
                 isLeaving,
-                tokens,
-                requests,
+                sentTokens,
+                unreadTokens,
+                outstanding,
                 reportedTokens,
                 sentAtReportTokens,
                 failed,
--- a/core/src/main/java/org/bramleylatch/core/Outcomes.java
+++ b/core/src/main/java/org/bramleylatch/core/Outcomes.java
@@ -72,7 +72,9 @@
         attempt.ifPresent(
                 row ->
                         world.endpoints()
-                                .update(row.endpoint(), e -> e.sent(-row.heldTokens(), -1)));
+                                .update(
+                                        row.endpoint(),
+                                        e -> e.ended(row.heldTokens(), row.unreadTokens())));
         world.timers().clear(new RouterTimer.AttemptCheck(id));
         return attempt;
     }
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -57,12 +57,13 @@
                                 spec.id(),
                                 endpoint.id(),
                                 need,
+                                spec.promptTokens(),
                                 row.position(),
                                 nowMillis,
                                 0,
                                 nowMillis,
                                 false));
-        world.endpoints().put(endpoint.id(), endpoint.sent(need, 1));
+        world.endpoints().put(endpoint.id(), endpoint.sent(need, spec.promptTokens()));
         world.timers()
                 .set(new RouterTimer.AttemptCheck(attempt), nowMillis + limits.firstTokenMillis());
         noteAttempt(world, row, attempt, endpoint.id());
--- a/core/src/main/java/org/bramleylatch/core/Streams.java
+++ b/core/src/main/java/org/bramleylatch/core/Streams.java
@@ -29,6 +29,9 @@
                             arrived.attempt(), RunState.RAN, "gap at " + arrived.position()));
         }
         world.attempts().put(row.id(), row.advanced(arrived.tokens(), nowMillis));
+        if (row.unreadTokens() > 0) {
+            world.endpoints().update(row.endpoint(), e -> e.read(row.unreadTokens()));
+        }
         world.requests().update(row.request(), request -> request.delivered(arrived.tokens()));
         world.send(new RouterOutput.DeliverTokens(row.request(), arrived.text()));
         return true;
