--- a/core/src/main/java/org/bramleylatch/core/Fleet.java
+++ b/core/src/main/java/org/bramleylatch/core/Fleet.java
@@ -13,7 +13,7 @@
 import org.bramleylatch.core.RouterInput.MoveChanged;
 
 /** Keeps a router's view of the configuration, the endpoints and the keepers. */
-record Fleet(RouterWorld world, long nowMillis) {
+record Fleet(RouterWorld world, RouterLimits limits, long nowMillis) {
 
     /** Takes a configuration unless it is older than the one in force. */
     boolean configure(ConfigurationSeen seen) {
@@ -30,8 +30,10 @@
 
     /** Takes the platform's list; endpoints that left it get no new work. */
     boolean list(EndpointsListed listed) {
+        EndpointSubset subset =
+                new EndpointSubset(world.self(), world.zone(), limits.mostEndpoints());
         Map<EndpointId, EndpointRow> byId =
-                listed.endpoints().stream()
+                subset.of(listed.endpoints()).stream()
                         .collect(Collectors.toMap(EndpointRow::id, Function.identity()));
         List<EndpointRow> known = world.endpoints().where(row -> true);
         known.stream().filter(row -> !byId.containsKey(row.id())).forEach(this::unlist);
--- a/core/src/main/java/org/bramleylatch/core/RouterInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInbox.java
@@ -33,7 +33,7 @@
         }
         Admission admission = new Admission(world, limits, nowMillis);
         Streams streams = new Streams(world, limits, nowMillis);
-        Fleet fleet = new Fleet(world, nowMillis);
+        Fleet fleet = new Fleet(world, limits, nowMillis);
         Dispatch<RouterInput, Boolean> table = Dispatch.empty();
         table.on(RequestArrived.class, admission::admit)
                 .on(ReserveGranted.class, admission::reserved)
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -3,6 +3,7 @@
 /**
  * Bounds what a router does.
  *
+ * @param mostEndpoints the most endpoints of one back end and version that a router uses
  * @param mostOpen the most requests that may be on their way, slow readers included
  * @param mostQueued the most requests that may wait for an endpoint
  * @param mostAttempts the most attempts of one request
@@ -15,6 +16,7 @@
  * @param retryPermille how many retries a route may add to its requests, in thousandths
  */
 public record RouterLimits(
+        int mostEndpoints,
         int mostOpen,
         int mostQueued,
         int mostAttempts,
@@ -28,6 +30,6 @@
 
     /** Returns the limits for the sizes of today. */
     public static RouterLimits standard() {
-        return new RouterLimits(2_500, 500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250);
+        return new RouterLimits(24, 2_500, 500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/SnapshotAssembly.java
+++ b/core/src/main/java/org/bramleylatch/core/SnapshotAssembly.java
@@ -25,9 +25,10 @@
     /** Returns the records that carry the image. */
     public static List<SnapshotPart> split(LedgerImage image) {
         int count = Math.max(1, (image.rows().size() + ROWS_PER_PART - 1) / ROWS_PER_PART);
+        long digest = image.digest();
         List<SnapshotPart> parts = new ArrayList<>(count);
         for (int index = 0; index < count; index++) {
-            parts.add(part(image, index, count));
+            parts.add(part(image, digest, index, count));
         }
         return parts;
     }
@@ -53,7 +54,7 @@
         return Optional.of(image).filter(whole -> whole.digest() == parts.get(0).digest());
     }
 
-    private static SnapshotPart part(LedgerImage image, int index, int count) {
+    private static SnapshotPart part(LedgerImage image, long digest, int index, int count) {
         int from = index * ROWS_PER_PART;
         int to = Math.min(image.rows().size(), from + ROWS_PER_PART);
         return new SnapshotPart(
@@ -61,7 +62,7 @@
                 image.logMillis(),
                 index,
                 count,
-                image.digest(),
+                digest,
                 image.rows().subList(from, to));
     }
 
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/EndpointSubsetTest.java
@@ -0,0 +1,60 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class EndpointSubsetTest {
+    private static final Zone OWN = Zone.of("langnau");
+    private static final Zone OTHER = Zone.of("huttwil");
+
+    @Test
+    void theOwnZoneComesFirst() {
+        List<EndpointRow> listed =
+                Stream.concat(endpoints(OTHER, "v1", 20), endpoints(OWN, "v1", 4)).toList();
+        List<EndpointRow> used = subset("router-1", 4).of(listed);
+        assertThat(used).hasSize(4).allMatch(row -> row.zone().equals(OWN));
+    }
+
+    @Test
+    void anotherZoneFillsUpWhatTheOwnOneLacks() {
+        List<EndpointRow> listed =
+                Stream.concat(endpoints(OTHER, "v1", 20), endpoints(OWN, "v1", 1)).toList();
+        assertThat(subset("router-1", 4).of(listed)).hasSize(4);
+    }
+
+    @Test
+    void everyVersionKeepsItsEndpoints() {
+        List<EndpointRow> listed =
+                Stream.concat(endpoints(OWN, "v1", 20), endpoints(OWN, "v2", 1)).toList();
+        assertThat(subset("router-1", 4).of(listed))
+                .extracting(EndpointRow::version)
+                .contains(Version.of("v2"));
+    }
+
+    @Test
+    void everyEndpointIsUsedBySomeRouters() {
+        List<EndpointRow> listed = endpoints(OWN, "v1", 100).toList();
+        long[] routersOf = new long[100];
+        for (int router = 0; router < 200; router++) {
+            subset("router-" + router, 20).of(listed).stream()
+                    .mapToInt(row -> Integer.parseInt(row.id().value().split("-")[2]))
+                    .forEach(index -> routersOf[index]++);
+        }
+        assertThat(LongStream.of(routersOf)).allMatch(count -> count >= 10 && count <= 80);
+    }
+
+    private static EndpointSubset subset(String router, int most) {
+        return new EndpointSubset(Incarnation.of(router), OWN, most);
+    }
+
+    private static Stream<EndpointRow> endpoints(Zone zone, String version, int count) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> EndpointId.of(zone + "-" + version + "-" + index))
+                .map(id -> EndpointRow.of(id, "seilhelfer", zone, Version.of(version), 1_000));
+    }
+}
--- a/router/src/main/java/org/bramleylatch/router/Endpoints.java
+++ b/router/src/main/java/org/bramleylatch/router/Endpoints.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.RouterInput;
@@ -37,16 +38,23 @@
     private final Vertx vertx;
     private final PlatformClient platform;
     private final Callers callers;
+    private final Predicate<EndpointId> isUsed;
     private final Consumer<RouterInput> inbox;
     private final HttpClient client;
     private final WebClient prober;
     private final Map<EndpointId, Address> addresses = new HashMap<>();
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
 
-    Endpoints(Vertx vertx, PlatformClient platform, Callers callers, Consumer<RouterInput> inbox) {
+    Endpoints(
+            Vertx vertx,
+            PlatformClient platform,
+            Callers callers,
+            Predicate<EndpointId> isUsed,
+            Consumer<RouterInput> inbox) {
         this.vertx = vertx;
         this.platform = platform;
         this.callers = callers;
+        this.isUsed = isUsed;
         this.inbox = inbox;
         this.client =
                 vertx.createHttpClient(
@@ -61,7 +69,7 @@
     /** Starts to read the platform's list and to ask endpoints for their load. */
     void begin() {
         vertx.setPeriodic(0, LIST_EVERY_MILLIS, id -> platform.vms().thenAccept(this::list));
-        vertx.setPeriodic(PROBE_EVERY_MILLIS, id -> addresses.forEach(this::probe));
+        vertx.setPeriodic(PROBE_EVERY_MILLIS, id -> probeUsed());
     }
 
     /** Sends an attempt to its endpoint. */
@@ -154,6 +162,12 @@
                         list.vms().stream().map(VmList.Vm::toEndpoint).toList()));
     }
 
+    private void probeUsed() {
+        addresses.entrySet().stream()
+                .filter(entry -> isUsed.test(entry.getKey()))
+                .forEach(entry -> probe(entry.getKey(), entry.getValue()));
+    }
+
     private void probe(EndpointId endpoint, Address address) {
         prober.get(address.port(), address.ip(), "/load")
                 .timeout(PROBE_TIMEOUT_MILLIS)
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -71,7 +71,8 @@
                         RouterSystems.schedule(Placement.byAffinity(), RouterLimits.standard()),
                         this::carry);
         this.callers = new Callers(clock, settings.mostBodyBytes(), world, loop::offer, metrics);
-        this.endpoints = new Endpoints(vertx, platform, callers, loop::offer);
+        this.endpoints =
+                new Endpoints(vertx, platform, callers, world.endpoints()::has, loop::offer);
         this.keepers = new KeeperLinks(vertx, self, order, settings.keepers(), loop::offer);
         this.configuration = new ConfigStream(platform);
     }
