--- a/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
+++ b/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.bramleylatch.core.Actions;
 import org.bramleylatch.core.AdminInput;
 import org.bramleylatch.core.AdminOutput;
 import org.bramleylatch.core.AdminWorld;
@@ -107,11 +108,14 @@
     }
 
     private void carry(AdminOutput output) {
-        if (output instanceof AdminOutput.AppendBatch batch) {
-            accounts.append(batch.records());
-        } else if (output instanceof AdminOutput.Judged judged) {
-            Optional.ofNullable(calls.remove(judged.call())).ifPresent(c -> settle(c, judged));
-        }
+        Actions.<AdminOutput>empty()
+                .on(AdminOutput.AppendBatch.class, batch -> accounts.append(batch.records()))
+                .on(AdminOutput.Judged.class, this::judge)
+                .accept(output);
+    }
+
+    private void judge(AdminOutput.Judged judged) {
+        Optional.ofNullable(calls.remove(judged.call())).ifPresent(call -> settle(call, judged));
     }
 
     private static void settle(CompletableFuture<Void> call, AdminOutput.Judged judged) {
--- a/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
@@ -5,32 +5,37 @@
 /** Is a message out of a keeper's world. */
 public sealed interface KeeperOutput {
 
+    /** Is a message to a router. */
+    sealed interface ToRouter extends KeeperOutput {
+
+        /** Returns the router that the message is for. */
+        Incarnation router();
+    }
+
     /** Tells a router that tokens are set aside for a request. */
-    record ReserveGranted(Incarnation router, RequestKey key, GrantKey grant)
-            implements KeeperOutput {}
+    record ReserveGranted(Incarnation router, RequestKey key, GrantKey grant) implements ToRouter {}
 
     /** Tells a router that a request must be refused. */
     record ReserveRefused(Incarnation router, RequestKey key, ResultCode code)
-            implements KeeperOutput {}
+            implements ToRouter {}
 
     /** Tells a router that its usage is held here and will be appended. */
-    record UsageHeld(Incarnation router, RequestKey key) implements KeeperOutput {}
+    record UsageHeld(Incarnation router, RequestKey key) implements ToRouter {}
 
     /** Tells a router that its usage was read back from the log. */
-    record UsageDurable(Incarnation router, RequestKey key) implements KeeperOutput {}
+    record UsageDurable(Incarnation router, RequestKey key) implements ToRouter {}
 
     /** Tells a router that it may run the request, and it alone. */
-    record IntentWon(Incarnation router, RequestKey key) implements KeeperOutput {}
+    record IntentWon(Incarnation router, RequestKey key) implements ToRouter {}
 
     /** Tells a router that another run was claimed before, with what is known of it. */
-    record IntentLost(Incarnation router, IntentRow winner) implements KeeperOutput {}
+    record IntentLost(Incarnation router, IntentRow winner) implements ToRouter {}
 
     /** Tells a router that no claim was made; the request must not run. */
-    record IntentRefused(Incarnation router, RequestKey key, ResultCode code)
-            implements KeeperOutput {}
+    record IntentRefused(Incarnation router, RequestKey key, ResultCode code) implements ToRouter {}
 
     /** Tells a router the state of a move. */
-    record MoveChanged(Incarnation router, MoveRow move) implements KeeperOutput {}
+    record MoveChanged(Incarnation router, MoveRow move) implements ToRouter {}
 
     /** Appends the records to the log, in order, in one call. */
     record AppendBatch(List<Numbered> records) implements KeeperOutput {
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -5,11 +5,18 @@
 /** Is one proposal in an account stream of the log. The fold accepts or refuses it. */
 public sealed interface LedgerRecord {
 
+    /** Is a record about one budget. */
+    sealed interface OfBudget extends LedgerRecord {
+
+        /** Returns the budget that the record is about. */
+        BudgetId budget();
+    }
+
     /** Creates a budget for a workspace. */
-    record BudgetCreated(BudgetId budget, String workspace) implements LedgerRecord {}
+    record BudgetCreated(BudgetId budget, String workspace) implements OfBudget {}
 
     /** Adds paid tokens to a budget. The key makes a repeated top-up count once. */
-    record BudgetToppedUp(BudgetId budget, RequestKey key, long tokens) implements LedgerRecord {}
+    record BudgetToppedUp(BudgetId budget, RequestKey key, long tokens) implements OfBudget {}
 
     /**
      * Asks for tokens from the free part of a budget. What is free, up to the amount, is granted;
@@ -25,11 +32,11 @@
             long tokens,
             long neededTokens,
             long demandTokensPerHour)
-            implements LedgerRecord {}
+            implements OfBudget {}
 
     /** Settles the usage of requests against a grant. */
     record UsageReported(BudgetId budget, Incarnation holder, List<Usage> usages)
-            implements LedgerRecord {
+            implements OfBudget {
 
         /** Copies the list. */
         public UsageReported {
@@ -38,19 +45,18 @@
     }
 
     /** Returns tokens of the writer's own grant to the free part. */
-    record GrantReturned(BudgetId budget, Incarnation holder, long tokens)
-            implements LedgerRecord {}
+    record GrantReturned(BudgetId budget, Incarnation holder, long tokens) implements OfBudget {}
 
     /** Marks the grants of a holder as frozen. Evidence that it is away, not proof. */
     record HolderFrozen(Incarnation holder) implements LedgerRecord {}
 
     /** Returns a frozen grant to the free part, on an operator's word that its VM is gone. */
     record FrozenReleased(BudgetId budget, Incarnation holder, String operator)
-            implements LedgerRecord {}
+            implements OfBudget {}
 
     /** Claims the single run of a request that may not be repeated. */
     record IntentDeclared(RequestKey key, Incarnation router, BudgetId budget)
-            implements LedgerRecord {}
+            implements OfBudget {}
 
     /** Ends the intent of a router with the service's answer, or as not run. */
     record IntentFinished(
--- a/core/src/main/java/org/bramleylatch/core/ReadBack.java
+++ b/core/src/main/java/org/bramleylatch/core/ReadBack.java
@@ -42,38 +42,33 @@
 
     private static void takeOwn(KeeperWorld world, Numbered numbered) {
         world.writer().readBack(numbered.sequence());
-        LedgerRecord record = numbered.record();
-        if (record instanceof GrantAsked asked) {
-            world.holdings().update(asked.budget(), row -> row.asking(false));
-        } else if (record instanceof GrantReturned returned) {
-            world.holdings().update(returned.budget(), row -> row.returning(-returned.tokens()));
-        } else if (record instanceof IntentDeclared declared) {
-            answerClaim(world, declared);
-        } else if (record instanceof UsageReported reported) {
-            reported.usages().forEach(usage -> dropRefused(world, usage));
-        }
+        Actions.<LedgerRecord>empty()
+                .on(GrantAsked.class, asked -> endAsk(world, asked))
+                .on(GrantReturned.class, returned -> endReturn(world, returned))
+                .on(IntentDeclared.class, declared -> answerClaim(world, declared))
+                .on(UsageReported.class, reported -> dropRefused(world, reported))
+                .accept(numbered.record());
+    }
+
+    private static void endAsk(KeeperWorld world, GrantAsked asked) {
+        world.holdings().update(asked.budget(), row -> row.asking(false));
+    }
+
+    private static void endReturn(KeeperWorld world, GrantReturned returned) {
+        world.holdings().update(returned.budget(), row -> row.returning(-returned.tokens()));
     }
 
     private static void touch(KeeperWorld world, LedgerRecord record) {
-        if (record instanceof LedgerRecord.SnapshotPart part) {
+        if (record instanceof LedgerRecord.OfBudget one) {
+            world.touched().add(one.budget());
+        } else if (record instanceof LedgerRecord.SnapshotPart part) {
             world.setSnapshotOffset(part.nextOffset());
             world.setSnapshotMillis(0);
-            return;
-        }
-        if (record instanceof GrantAsked asked) {
-            world.touched().add(asked.budget());
-        } else if (record instanceof GrantReturned returned) {
-            world.touched().add(returned.budget());
-        } else if (record instanceof LedgerRecord.BudgetToppedUp toppedUp) {
-            world.touched().add(toppedUp.budget());
-        } else if (record instanceof LedgerRecord.FrozenReleased released) {
-            world.touched().add(released.budget());
         }
     }
 
     private static void settleUsage(KeeperWorld world, LedgerRecord record) {
         if (record instanceof UsageReported reported) {
-            world.touched().add(reported.budget());
             reported.usages().stream()
                     .filter(usage -> world.ledger().settledKeys().has(usage.key()))
                     .flatMap(usage -> world.pendingUsages().find(usage.key()).stream())
@@ -81,8 +76,11 @@
         }
     }
 
-    private static void dropRefused(KeeperWorld world, Usage usage) {
-        world.pendingUsages().find(usage.key()).ifPresent(row -> durable(world, row));
+    /** Ends the own usage that the fold refused; it will not be taken later either. */
+    private static void dropRefused(KeeperWorld world, UsageReported reported) {
+        reported.usages().stream()
+                .flatMap(usage -> world.pendingUsages().find(usage.key()).stream())
+                .forEach(row -> durable(world, row));
     }
 
     private static void durable(KeeperWorld world, PendingUsageRow row) {
--- a/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -73,10 +73,18 @@
             cursor.expired();
         } else {
             world.accept(new LedgerFeed.LogSeen(false));
+            warnAtStart();
             askPeers(client, peers);
         }
     }
 
+    private void warnAtStart() {
+        if (!caughtUp && !askedPeers) {
+            ResultCode code = ResultCode.PLATFORM_UNREACHABLE;
+            LOG.warn("{} {}: not ready until the log answers", code.number(), code);
+        }
+    }
+
     private void askPeers(WebClient client, List<Address> peers) {
         if (!caughtUp && !askedPeers) {
             askedPeers = true;
--- a/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
@@ -9,6 +9,7 @@
 import io.vertx.ext.web.Router;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
+import org.bramleylatch.core.Actions;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.GrantPolicy;
@@ -40,6 +41,7 @@
     private final RouterLinks links;
     private final AccountStream accounts;
     private final EndpointAsker asker;
+    private final Actions<KeeperOutput> carriers;
     private final Settings settings;
     private final Incarnation self;
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -82,6 +84,7 @@
                 new AccountStream(
                         platform, self, feed -> loop.offer(new KeeperInput.FromLog(feed)));
         this.asker = new EndpointAsker(vertx, platform, loop::offer);
+        this.carriers = carriers();
     }
 
     /** Starts a keeper; the future fails with PORT_IN_USE if the port is taken. */
@@ -129,17 +132,23 @@
     }
 
     private void carry(KeeperOutput output) {
-        if (output instanceof KeeperOutput.AppendBatch batch) {
-            accounts.append(batch.records());
-        } else if (output instanceof KeeperOutput.AskEndpoint ask) {
-            asker.ask(ask);
-        } else if (output instanceof KeeperOutput.Note note) {
-            metrics.count(note.event().kind());
-            timeline.write(note.event());
-        } else if (output instanceof KeeperOutput.Stopped) {
-            stopped.complete(null);
+        if (output instanceof KeeperOutput.ToRouter message) {
+            links.send(message);
         } else {
-            links.send(output);
+            carriers.accept(output);
         }
     }
+
+    private Actions<KeeperOutput> carriers() {
+        return Actions.<KeeperOutput>empty()
+                .on(KeeperOutput.AppendBatch.class, batch -> accounts.append(batch.records()))
+                .on(KeeperOutput.AskEndpoint.class, asker::ask)
+                .on(KeeperOutput.Note.class, note -> note(note.event()))
+                .on(KeeperOutput.Stopped.class, done -> stopped.complete(null));
+    }
+
+    private void note(Event event) {
+        metrics.count(event.kind());
+        timeline.write(event);
+    }
 }
--- a/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
@@ -48,11 +48,9 @@
         server.handle(request);
     }
 
-    /** Sends a message to the router that it names; it is dropped if that router is gone. */
-    void send(KeeperOutput output) {
-        addressee(output)
-                .flatMap(router -> Optional.ofNullable(links.get(router)))
-                .ifPresent(link -> write(link, output));
+    /** Sends a message to the router that it is for; it is dropped if that router is gone. */
+    void send(KeeperOutput.ToRouter output) {
+        Optional.ofNullable(links.get(output.router())).ifPresent(link -> write(link, output));
     }
 
     private void write(GrpcServerRequest<Buffer, Buffer> link, KeeperOutput output) {
@@ -67,27 +65,6 @@
         call.exceptionHandler(failure -> link.lose());
     }
 
-    private static Optional<Incarnation> addressee(KeeperOutput output) {
-        if (output instanceof KeeperOutput.ReserveGranted message) {
-            return Optional.of(message.router());
-        } else if (output instanceof KeeperOutput.ReserveRefused message) {
-            return Optional.of(message.router());
-        } else if (output instanceof KeeperOutput.UsageHeld message) {
-            return Optional.of(message.router());
-        } else if (output instanceof KeeperOutput.UsageDurable message) {
-            return Optional.of(message.router());
-        } else if (output instanceof KeeperOutput.IntentWon message) {
-            return Optional.of(message.router());
-        } else if (output instanceof KeeperOutput.IntentLost message) {
-            return Optional.of(message.router());
-        } else if (output instanceof KeeperOutput.MoveChanged message) {
-            return Optional.of(message.router());
-        } else if (output instanceof KeeperOutput.IntentRefused message) {
-            return Optional.of(message.router());
-        }
-        return Optional.empty();
-    }
-
     /** Is one router's link. */
     private final class Link {
         private final GrpcServerRequest<Buffer, Buffer> call;
--- a/router/src/main/java/org/bramleylatch/router/Callers.java
+++ b/router/src/main/java/org/bramleylatch/router/Callers.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.bramleylatch.core.Actions;
 import org.bramleylatch.core.MemberRow;
 import org.bramleylatch.core.RequestId;
 import org.bramleylatch.core.RequestKey;
@@ -42,6 +43,7 @@
     private final Consumer<RouterInput> inbox;
     private final RouterMetrics metrics;
     private final Map<RequestId, Exchange> exchanges = new HashMap<>();
+    private final Actions<RouterOutput> carriers = carriers();
     private long count;
 
     Callers(
@@ -72,29 +74,46 @@
 
     /** Carries a message to the caller that it names. */
     void carry(RouterOutput output) {
-        if (output instanceof RouterOutput.DeliverTokens deliver) {
-            exchange(deliver.request()).ifPresent(e -> deliver(e, deliver));
-        } else if (output instanceof RouterOutput.FinishAnswer finish) {
-            close(finish.request())
-                    .ifPresent(
-                            e ->
-                                    e.finish(
-                                            finish.reason(),
-                                            finish.promptTokens(),
-                                            finish.answerTokens()));
-        } else if (output instanceof RouterOutput.DeliverService deliver) {
-            close(deliver.request())
-                    .ifPresent(
-                            e ->
-                                    e.response()
-                                            .setStatusCode(deliver.status())
-                                            .putHeader("content-type", "application/json")
-                                            .end(deliver.body()));
-        } else if (output instanceof RouterOutput.Refuse refuse) {
-            metrics.refused(refuse.code());
-            close(refuse.request())
-                    .ifPresent(e -> e.refuse(refuse.code(), refuse.ran(), refuse.detail()));
-        }
+        carriers.accept(output);
+    }
+
+    private Actions<RouterOutput> carriers() {
+        return Actions.<RouterOutput>empty()
+                .on(RouterOutput.DeliverTokens.class, this::deliver)
+                .on(RouterOutput.FinishAnswer.class, this::finish)
+                .on(RouterOutput.DeliverService.class, this::deliverService)
+                .on(RouterOutput.Refuse.class, this::refuse);
+    }
+
+    private void deliver(RouterOutput.DeliverTokens deliver) {
+        exchange(deliver.request()).ifPresent(exchange -> deliver(exchange, deliver));
+    }
+
+    private void finish(RouterOutput.FinishAnswer finish) {
+        close(finish.request())
+                .ifPresent(
+                        exchange ->
+                                exchange.finish(
+                                        finish.reason(),
+                                        finish.promptTokens(),
+                                        finish.answerTokens()));
+    }
+
+    private void deliverService(RouterOutput.DeliverService deliver) {
+        close(deliver.request())
+                .map(Exchange::response)
+                .ifPresent(
+                        response ->
+                                response.setStatusCode(deliver.status())
+                                        .putHeader("content-type", "application/json")
+                                        .end(deliver.body()));
+    }
+
+    private void refuse(RouterOutput.Refuse refuse) {
+        metrics.refused(refuse.code());
+        close(refuse.request())
+                .ifPresent(
+                        exchange -> exchange.refuse(refuse.code(), refuse.ran(), refuse.detail()));
     }
 
     private void attempt(RoutingContext call, Consumer<RoutingContext> handler) {
--- a/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
+++ b/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.bramleylatch.core.Dispatch;
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.KeeperOutput;
 import org.bramleylatch.core.RouterInput;
@@ -65,31 +66,29 @@
         return Buffer.buffer(Compact.write(message));
     }
 
-    private static Optional<RouterInput> translate(Incarnation keeper, KeeperOutput output) {
-        if (output instanceof KeeperOutput.ReserveGranted m) {
-            return Optional.of(new RouterInput.ReserveGranted(keeper, m.key(), m.grant()));
-        } else if (output instanceof KeeperOutput.ReserveRefused m) {
-            return Optional.of(new RouterInput.ReserveRefused(keeper, m.key(), m.code()));
-        } else if (output instanceof KeeperOutput.UsageHeld m) {
-            return Optional.of(new RouterInput.UsageHeld(m.key()));
-        } else if (output instanceof KeeperOutput.UsageDurable m) {
-            return Optional.of(new RouterInput.UsageDurable(m.key()));
-        } else if (output instanceof KeeperOutput.IntentWon m) {
-            return Optional.of(new RouterInput.IntentWon(m.key()));
-        } else if (output instanceof KeeperOutput.IntentLost m) {
-            return Optional.of(new RouterInput.IntentLost(m.winner()));
-        } else if (output instanceof KeeperOutput.MoveChanged m) {
-            return Optional.of(new RouterInput.MoveChanged(m.move()));
-        } else if (output instanceof KeeperOutput.IntentRefused m) {
-            return Optional.of(new RouterInput.IntentRefused(m.key(), m.code()));
-        }
-        return Optional.empty();
+    private static Dispatch<KeeperOutput, RouterInput> translator(Incarnation keeper) {
+        return Dispatch.<KeeperOutput, RouterInput>empty()
+                .on(
+                        KeeperOutput.ReserveGranted.class,
+                        m -> new RouterInput.ReserveGranted(keeper, m.key(), m.grant()))
+                .on(
+                        KeeperOutput.ReserveRefused.class,
+                        m -> new RouterInput.ReserveRefused(keeper, m.key(), m.code()))
+                .on(KeeperOutput.UsageHeld.class, m -> new RouterInput.UsageHeld(m.key()))
+                .on(KeeperOutput.UsageDurable.class, m -> new RouterInput.UsageDurable(m.key()))
+                .on(KeeperOutput.IntentWon.class, m -> new RouterInput.IntentWon(m.key()))
+                .on(KeeperOutput.IntentLost.class, m -> new RouterInput.IntentLost(m.winner()))
+                .on(KeeperOutput.MoveChanged.class, m -> new RouterInput.MoveChanged(m.move()))
+                .on(
+                        KeeperOutput.IntentRefused.class,
+                        m -> new RouterInput.IntentRefused(m.key(), m.code()));
     }
 
     /** Is the link to the keeper at one address. */
     private final class Link {
         private final Address address;
         private Optional<Incarnation> keeper = Optional.empty();
+        private Dispatch<KeeperOutput, RouterInput> translator = Dispatch.empty();
         private boolean reopening;
 
         Link(Address address) {
@@ -125,12 +124,13 @@
                 Hello hello = Compact.read(bytes.getBytes(), Hello.class);
                 order.seen(hello.order());
                 keeper = Optional.of(hello.incarnation());
+                translator = translator(hello.incarnation());
                 links.put(hello.incarnation(), request);
                 inbox.accept(new RouterInput.KeeperUp(hello.incarnation()));
             } else {
                 FromKeeper message = Compact.read(bytes.getBytes(), FromKeeper.class);
                 order.seen(message.order());
-                translate(keeper.get(), message.message()).ifPresent(inbox);
+                inbox.accept(translator.apply(message.message()));
             }
         }
 
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -7,6 +7,7 @@
 import io.vertx.ext.web.Router;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
+import org.bramleylatch.core.Actions;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
@@ -39,6 +40,7 @@
     private final Endpoints endpoints;
     private final KeeperLinks keepers;
     private final ConfigStream configuration;
+    private final Actions<RouterOutput> carriers;
     private final RouterMetrics metrics;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -75,6 +77,7 @@
                 new Endpoints(vertx, platform, callers, world.endpoints()::has, loop::offer);
         this.keepers = new KeeperLinks(vertx, self, order, settings.keepers(), loop::offer);
         this.configuration = new ConfigStream(platform);
+        this.carriers = carriers();
     }
 
     /** Starts a router; the future fails with PORT_IN_USE if the port is taken. */
@@ -119,21 +122,22 @@
     }
 
     private void carry(RouterOutput output) {
-        if (output instanceof RouterOutput.ToKeeper message) {
-            keepers.send(message);
-        } else if (output instanceof RouterOutput.StartAttempt start) {
-            endpoints.start(start);
-        } else if (output instanceof RouterOutput.CancelAttempt cancel) {
-            endpoints.cancel(cancel.attempt());
-        } else if (output instanceof RouterOutput.PauseAttempt pause) {
-            endpoints.pause(pause);
-        } else if (output instanceof RouterOutput.Note note) {
-            metrics.count(note.event().kind());
-            timeline.write(note.event());
-        } else if (output instanceof RouterOutput.Stopped) {
-            stopped.complete(null);
-        } else {
-            callers.carry(output);
-        }
+        carriers.accept(output);
+    }
+
+    private Actions<RouterOutput> carriers() {
+        return Actions.<RouterOutput>empty()
+                .on(RouterOutput.ToKeeper.class, keepers::send)
+                .on(RouterOutput.StartAttempt.class, endpoints::start)
+                .on(RouterOutput.CancelAttempt.class, end -> endpoints.cancel(end.attempt()))
+                .on(RouterOutput.PauseAttempt.class, endpoints::pause)
+                .on(RouterOutput.Note.class, note -> note(note.event()))
+                .on(RouterOutput.Stopped.class, done -> stopped.complete(null))
+                .otherwise(callers::carry);
+    }
+
+    private void note(Event event) {
+        metrics.count(event.kind());
+        timeline.write(event);
     }
 }
--- a/wire/src/main/java/org/bramleylatch/wire/Compact.java
+++ b/wire/src/main/java/org/bramleylatch/wire/Compact.java
@@ -62,8 +62,9 @@
                         .disable(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY)
                         .addModule(keyModule())
                         .build();
-        FAMILIES.forEach(family -> byPosition(mapper, family.getPermittedSubclasses()));
-        byPosition(mapper, GrantKey.class, Usage.class);
+        FAMILIES.stream().flatMap(Json::messageTypes).forEach(type -> byPosition(mapper, type));
+        byPosition(mapper, GrantKey.class);
+        byPosition(mapper, Usage.class);
         return mapper;
     }
 
@@ -104,10 +105,7 @@
         }
     }
 
-    private static void byPosition(ObjectMapper mapper, Class<?>... types) {
-        JsonFormat.Value array = JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
-        for (Class<?> type : types) {
-            mapper.configOverride(type).setFormat(array);
-        }
+    private static void byPosition(ObjectMapper mapper, Class<?> type) {
+        mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
     }
 }
--- a/wire/src/main/java/org/bramleylatch/wire/Json.java
+++ b/wire/src/main/java/org/bramleylatch/wire/Json.java
@@ -19,7 +19,9 @@
 import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Stream;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.BudgetId;
 import org.bramleylatch.core.EndpointId;
@@ -144,6 +146,12 @@
         return builder;
     }
 
+    /** Returns the records of a sealed family, those of families within it too. */
+    static Stream<Class<?>> messageTypes(Class<?> family) {
+        return Arrays.stream(family.getPermittedSubclasses())
+                .flatMap(type -> type.isSealed() ? messageTypes(type) : Stream.of(type));
+    }
+
     private static SimpleModule keyModule() {
         return new SimpleModule()
                 .addSerializer(RequestKey.class, ToStringSerializer.instance)
@@ -151,9 +159,11 @@
     }
 
     private static void register(MapperBuilder<?, ?> builder, Class<?> family) {
-        for (Class<?> type : family.getPermittedSubclasses()) {
-            builder.registerSubtypes(new NamedType(type, type.getSimpleName()));
-        }
+        messageTypes(family)
+                .forEach(
+                        type ->
+                                builder.registerSubtypes(
+                                        new NamedType(type, type.getSimpleName())));
     }
 
     private abstract static class IdMixIn {
