--- a/admin/src/main/java/org/bramleylatch/admin/AdminApi.java
+++ b/admin/src/main/java/org/bramleylatch/admin/AdminApi.java
@@ -62,6 +62,8 @@
     /** Adds the API's calls. */
     void mount(Router web) {
         web.route(BASE + "/*").handler(BodyHandler.create(false));
+        web.get(BASE + "/openapi.json")
+                .handler(call -> call.response().sendFile("org/bramleylatch/admin/openapi.json"));
         web.get(BASE + "/budgets").handler(call -> guard(call, owner -> list(call)));
         web.post(BASE + "/budgets").handler(call -> guard(call, owner -> create(call)));
         web.get(BASE + "/budgets/:budget").handler(call -> guard(call, owner -> show(call)));
--- a/edge/src/main/java/org/bramleylatch/edge/Timeline.java
+++ b/edge/src/main/java/org/bramleylatch/edge/Timeline.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.Incarnation;
@@ -17,7 +19,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Writes a process's events as JSON lines; a line is on its way to the file within a moment. */
+/**
+ * Writes a process's events as JSON lines; events are encoded in the background of the loop, so
+ * that no request waits for it.
+ */
 public final class Timeline {
     private static final Logger LOG = LoggerFactory.getLogger(Timeline.class);
     private static final long FLUSH_MILLIS = 100;
@@ -28,6 +33,7 @@
     private final InstantSource clock;
     private final HybridClock order;
     private final Optional<BufferedWriter> file;
+    private final List<TimelineLine> pending = new ArrayList<>();
 
     /**
      * Opens the file for appending.
@@ -52,25 +58,31 @@
         this.file.ifPresent(writer -> vertx.setPeriodic(FLUSH_MILLIS, id -> flush()));
     }
 
-    /** Writes an event; may be called from any thread. */
+    /** Takes an event, to be written within a moment; may be called from any thread. */
     public synchronized void write(Event event) {
-        file.ifPresent(writer -> write(writer, event));
+        if (file.isPresent()) {
+            pending.add(
+                    new TimelineLine(
+                            order.next(), clock.millis(), process, incarnation, zone, event));
+        }
     }
 
     /** Hands all lines to the operating system. */
     public synchronized void flush() {
+        file.ifPresent(this::writePending);
         file.ifPresent(Timeline::flush);
     }
 
-    private void write(BufferedWriter writer, Event event) {
-        TimelineLine line =
-                new TimelineLine(order.next(), clock.millis(), process, incarnation, zone, event);
+    private void writePending(BufferedWriter writer) {
         try {
-            writer.write(Json.write(line));
-            writer.newLine();
+            for (TimelineLine line : pending) {
+                writer.write(Json.write(line));
+                writer.newLine();
+            }
         } catch (IOException full) {
             LOG.warn("time line cannot be written: {}", full.getMessage());
         }
+        pending.clear();
     }
 
     private static void flush(BufferedWriter writer) {
--- a/proof/src/test/java/org/bramleylatch/proof/RetentionProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/RetentionProcessTest.java
@@ -17,8 +17,8 @@
 class RetentionProcessTest {
     private static final long PAID_TOKENS = 1_000_000;
     private static final long PATIENCE_MILLIS = 30_000;
-    private static final int CHATS = 150;
-    private static final String OFTEN = ",\"snapshotEveryRecords\":20";
+    private static final int CHATS = 400;
+    private static final String OFTEN = ",\"snapshotEveryRecords\":10";
 
     @TempDir Path folder;
 
@@ -34,7 +34,7 @@
         deployment =
                 Deployment.in(folder)
                         .withEngine("engine", "langnau", "v1", "--step-millis", "1")
-                        .withPlatform("--retain", "60")
+                        .withPlatform("--retain", "40")
                         .withAdmin("langnau")
                         .withKeeper("keeper-1", "langnau", OFTEN)
                         .withRouter("router-1", "langnau", "keeper-1", "keeper-2");
