Refuse keys from far ahead; prove a start from a peer's ledger

Cause: a key is remembered until its own time lies two hours back, so one from far ahead would stay for ever; and loading a peer's ledger while the platform is away had no test. Change: keys more than ten minutes ahead of the router's clock are malformed; a test with real processes starts a keeper during an outage from its peer's ledger and lets it catch up. Ruled out: refusing such keys in the fold, which would have to judge usage that was already spent.

--- a/bench/src/main/java/org/bramleylatch/bench/Deployment.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Deployment.java
@@ -132,8 +132,17 @@
 
     /** Starts a keeper in the zone with further settings, each behind a comma. */
     public Deployment withKeeper(String name, String zone, String more) {
+        return startKeeper(name, zone, List.of(), more);
+    }
+
+    /** Starts a keeper in the zone that may ask another one for its ledger. */
+    public Deployment withKeeperAndPeer(String name, String zone, String peer) {
+        return startKeeper(name, zone, List.of(addressOf(peer)), "");
+    }
+
+    private Deployment startKeeper(String name, String zone, List<Address> peers, String more) {
         Address address = addressOf(name);
-        String settings = settings(name, zone, address, List.of()) + more + "}";
+        String settings = settings(name, zone, address, peers) + more + "}";
         start(name, KeeperMain.class, settingsFile(name, settings));
         return this;
     }
--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -11,6 +11,7 @@
 
 /** Brings a request from its arrival to the queue: tokens set aside, single run claimed. */
 record Admission(RouterWorld world, RouterLimits limits, long nowMillis) {
+    private static final long MOST_AHEAD_MILLIS = 10 * 60 * 1_000L;
 
     /** Admits a request or refuses it at once. */
     boolean admit(RequestArrived arrived) {
@@ -125,6 +126,9 @@
         if (KeyWindow.isExpired(spec.key(), nowMillis)) {
             return Optional.of(ResultCode.IDEMPOTENCY_KEY_EXPIRED);
         }
+        if (spec.key().issuedMillis() > nowMillis + MOST_AHEAD_MILLIS) {
+            return Optional.of(ResultCode.IDEMPOTENCY_KEY_MALFORMED);
+        }
         if (world.requestsByKey().has(spec.key()) || world.settlements().has(spec.key())) {
             return Optional.of(ResultCode.INTENT_IN_PROGRESS);
         }
--- a/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
@@ -313,6 +313,14 @@
         assertThat(refusal().ran()).isEqualTo(RunState.NOT_RUN);
     }
 
+    @Test
+    void aKeyFromFarAheadIsRefusedSinceItWouldBeRememberedForEver() {
+        RequestKey ahead = RequestKey.of(1_700_000_000_000L + 3_600_000, 1);
+        router.arrive(RouterCase.CHAT, 1, 1, ahead, true);
+        assertThat(refusal().code()).isEqualTo(ResultCode.IDEMPOTENCY_KEY_MALFORMED);
+        assertThat(refusal().ran()).isEqualTo(RunState.NOT_RUN);
+    }
+
     private void breakOff() {
         for (int tries = 0; tries < RouterLimits.standard().mostAttempts(); tries++) {
             AttemptId latest = router.last(StartAttempt.class).orElseThrow().attempt();
--- a/proof/src/test/java/org/bramleylatch/proof/ProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/ProcessTest.java
@@ -127,6 +127,24 @@
         assertBooksBalance();
     }
 
+    @Test
+    void aKeeperThatStartsWhileThePlatformIsAwayTakesThePeersLedgerAndGoesOnFromThere() {
+        platform("{\"outage\":true}");
+        deployment.withKeeperAndPeer("keeper-3", "langnau", "keeper-1");
+        Caller keeper = deployment.caller("keeper-3");
+        Await.until(
+                "the peer's ledger is loaded",
+                PATIENCE_MILLIS,
+                () ->
+                        keeper.isOk("/healthz")
+                                && keeper.get("/ledger").body().contains(Deployment.BUDGET));
+        assertThat(keeper.isOk("/readyz")).isFalse();
+        platform("{\"outage\":false}");
+        deployment.awaitReady("keeper-3");
+        assertThat(chat("router-1").status()).isEqualTo(200);
+        assertBooksBalance();
+    }
+
     @Test
     void aBookingWhoseAnswerIsLostIsNeverSentAgain() {
         String key = newKey();
