Keep the words on leaving endpoints apart; see at once that the log is back

Change: the platform's and the endpoint's words are kept apart and either is enough; after a failed read the next one asks for an answer at once. Names: LogStreams, Answers, RouterView, REQUEST_IN_PROGRESS.

--- a/admin/src/main/java/org/bramleylatch/admin/Sections.java
+++ b/admin/src/main/java/org/bramleylatch/admin/Sections.java
@@ -11,8 +11,8 @@
 import org.bramleylatch.core.RequestKey;
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.edge.ConfigStream;
+import org.bramleylatch.edge.LogStreams;
 import org.bramleylatch.edge.PlatformClient;
-import org.bramleylatch.edge.Streams;
 import org.bramleylatch.wire.ConfigDocument;
 import org.bramleylatch.wire.ConfigReader;
 import org.bramleylatch.wire.ConfigRecord;
@@ -69,7 +69,7 @@
     }
 
     private void append(SectionProposed proposal) {
-        platform.append(Streams.CONFIGURATION, List.of(Json.write((ConfigRecord) proposal)))
+        platform.append(LogStreams.CONFIGURATION, List.of(Json.write((ConfigRecord) proposal)))
                 .exceptionally(lost -> appendLater(proposal));
     }
 
@@ -84,7 +84,7 @@
         long age = clock.millis() - stream.reader().snapshotMillis();
         if (age >= SNAPSHOT_EVERY_MILLIS && document().nextOffset() > 0) {
             ConfigRecord snapshot = document().snapshot();
-            platform.append(Streams.CONFIGURATION, List.of(Json.write(snapshot)));
+            platform.append(LogStreams.CONFIGURATION, List.of(Json.write(snapshot)));
         }
     }
 
--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -130,7 +130,7 @@
             return Optional.of(ResultCode.IDEMPOTENCY_KEY_MALFORMED);
         }
         if (world.requestsByKey().has(spec.key()) || world.settlements().has(spec.key())) {
-            return Optional.of(ResultCode.INTENT_IN_PROGRESS);
+            return Optional.of(ResultCode.REQUEST_IN_PROGRESS);
         }
         boolean full =
                 world.requests().size() >= limits.mostOpen()
--- a/core/src/main/java/org/bramleylatch/core/Streams.java
+++ b/core/src/main/java/org/bramleylatch/core/Answers.java
@@ -10,7 +10,7 @@
 import org.bramleylatch.core.RouterInput.TokensArrived;
 
 /** Carries answers from attempts to callers; what is crossed, late or repeated is dropped. */
-record Streams(RouterWorld world, RouterLimits limits, long nowMillis) {
+record Answers(RouterWorld world, RouterLimits limits, long nowMillis) {
     private static final int FIRST_SERVER_ERROR = 500;
 
     /** Passes tokens on if they are the next ones of a running attempt. */
--- a/core/src/main/java/org/bramleylatch/core/EndpointRow.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -4,7 +4,7 @@
  * Is one endpoint as this router sees it.
  *
  * @param memoryTokens how many tokens the endpoint can hold at once; 0 for a plain service
- * @param leaving true once the endpoint or the platform's list says that it leaves
+ * @param leaving who says that the endpoint leaves
  * @param sentTokens what this router's running requests may need there
  * @param unreadTokens the prompts of this router's requests that have given no token yet
  * @param outstanding how many of this router's requests run there
@@ -19,7 +19,7 @@
         Zone zone,
         Version version,
         long memoryTokens,
-        boolean leaving,
+        Leaving leaving,
         long sentTokens,
         long unreadTokens,
         int outstanding,
@@ -35,7 +35,7 @@
     public static EndpointRow of(
             EndpointId id, String backEnd, Zone zone, Version version, long memoryTokens) {
         return new EndpointRow(
-                id, backEnd, zone, version, memoryTokens, false, 0, 0, 0, 0, 0, 0, 0);
+                id, backEnd, zone, version, memoryTokens, Leaving.no(), 0, 0, 0, 0, 0, 0, 0);
     }
 
     /** Returns what the endpoint is thought to hold: its last report and what was sent since. */
@@ -50,7 +50,7 @@
 
     /** Returns true if new work may be sent at the given time. */
     public boolean isOpen(long nowMillis) {
-        return !leaving && nowMillis >= ejectedUntilMillis;
+        return !leaving.isSaid() && nowMillis >= ejectedUntilMillis;
     }
 
     /** Returns the endpoint after a request with the given prompt was sent. */
@@ -68,9 +68,9 @@
         return with(sentTokens - tokens, unreadTokens - stillUnreadTokens, outstanding - 1);
     }
 
-    /** Returns the endpoint as leaving or not. */
-    public EndpointRow leaving(boolean isLeaving) {
-        return with(isLeaving, failures, ejectedUntilMillis);
+    /** Returns the endpoint with the latest words on whether it leaves. */
+    public EndpointRow leaving(Leaving latest) {
+        return with(latest, failures, ejectedUntilMillis);
     }
 
     /** Returns the endpoint after an attempt went well. */
@@ -112,7 +112,7 @@
                 listing.zone,
                 listing.version,
                 listing.memoryTokens,
-                listing.leaving || leaving,
+                leaving.listed(listing.leaving.listed()),
                 sentTokens,
                 unreadTokens,
                 outstanding,
@@ -139,14 +139,14 @@
                 ejectedUntilMillis);
     }
 
-    private EndpointRow with(boolean isLeaving, int failed, long ejectedUntil) {
+    private EndpointRow with(Leaving latest, int failed, long ejectedUntil) {
         return new EndpointRow(
                 id,
                 backEnd,
                 zone,
                 version,
                 memoryTokens,
-                isLeaving,
+                latest,
                 sentTokens,
                 unreadTokens,
                 outstanding,
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -100,7 +100,7 @@
                 return Optional.of(ResultCode.SHUTTING_DOWN);
             }
             if (world.waiting().has(ask.key()) || isHeldElsewhere(ask)) {
-                return Optional.of(ResultCode.INTENT_IN_PROGRESS);
+                return Optional.of(ResultCode.REQUEST_IN_PROGRESS);
             }
             return world.pendingUsages().has(ask.key())
                             || world.ledger().settledKeys().has(ask.key())
@@ -156,7 +156,7 @@
                 return refuseClaim(ask, ResultCode.LOG_UNAVAILABLE);
             }
             if (world.intentAsks().has(ask.key())) {
-                return refuseClaim(ask, ResultCode.INTENT_IN_PROGRESS);
+                return refuseClaim(ask, ResultCode.REQUEST_IN_PROGRESS);
             }
             world.intentAsks().put(ask.key(), new IntentAskRow(ask.key(), ask.router(), false));
             KeeperTimer wait = new KeeperTimer.IntentWait(ask.key());
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -224,7 +224,7 @@
         boolean claimed =
                 ledger.intents().find(record.key()).filter(row -> !row.abandoned()).isPresent();
         if (claimed) {
-            return Optional.of(ResultCode.INTENT_IN_PROGRESS);
+            return Optional.of(ResultCode.REQUEST_IN_PROGRESS);
         }
         ledger.intents().put(record.key(), IntentRow.of(record.key(), record.router(), offset));
         return ACCEPTED;
--- a/core/src/main/java/org/bramleylatch/core/Outcomes.java
+++ b/core/src/main/java/org/bramleylatch/core/Outcomes.java
@@ -8,7 +8,7 @@
     private static final Set<ResultCode> ALREADY_RAN = Set.of(ResultCode.USAGE_ALREADY_SETTLED);
     private static final Set<ResultCode> OTHER_RUN_UNKNOWN =
             Set.of(
-                    ResultCode.INTENT_IN_PROGRESS,
+                    ResultCode.REQUEST_IN_PROGRESS,
                     ResultCode.OUTCOME_UNKNOWN,
                     ResultCode.IDEMPOTENCY_KEY_EXPIRED);
 
--- a/core/src/main/java/org/bramleylatch/core/RouterInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInbox.java
@@ -32,8 +32,8 @@
             return;
         }
         Admission admission = new Admission(world, limits, nowMillis);
-        Streams streams = new Streams(world, limits, nowMillis);
-        Fleet fleet = new Fleet(world, limits, nowMillis);
+        Answers answers = new Answers(world, limits, nowMillis);
+        RouterView view = new RouterView(world, limits, nowMillis);
         Dispatch<RouterInput, Boolean> table = Dispatch.empty();
         table.on(RequestArrived.class, admission::admit)
                 .on(ReserveGranted.class, admission::reserved)
@@ -41,21 +41,21 @@
                 .on(IntentWon.class, admission::claimed)
                 .on(IntentLost.class, admission::lost)
                 .on(IntentRefused.class, admission::unclaimed);
-        table.on(TokensArrived.class, streams::deliver)
-                .on(AnswerEnded.class, streams::end)
-                .on(ServiceAnswered.class, streams::answer)
-                .on(AttemptFailed.class, streams::fail)
-                .on(CallerPaused.class, streams::pause)
-                .on(CallerGone.class, streams::abandon)
+        table.on(TokensArrived.class, answers::deliver)
+                .on(AnswerEnded.class, answers::end)
+                .on(ServiceAnswered.class, answers::answer)
+                .on(AttemptFailed.class, answers::fail)
+                .on(CallerPaused.class, answers::pause)
+                .on(CallerGone.class, answers::abandon)
                 .on(UsageHeld.class, held -> Settlements.held(world, held.key()))
                 .on(UsageDurable.class, done -> Settlements.durable(world, done.key()));
-        table.on(ConfigurationSeen.class, fleet::configure)
-                .on(EndpointsListed.class, fleet::list)
-                .on(EndpointReported.class, fleet::report)
-                .on(KeeperUp.class, fleet::keeperUp)
-                .on(KeeperDown.class, fleet::keeperDown)
-                .on(MoveChanged.class, fleet::move)
-                .on(StopAsked.class, message -> fleet.stop());
+        table.on(ConfigurationSeen.class, view::configure)
+                .on(EndpointsListed.class, view::list)
+                .on(EndpointReported.class, view::report)
+                .on(KeeperUp.class, view::keeperUp)
+                .on(KeeperDown.class, view::keeperDown)
+                .on(MoveChanged.class, view::move)
+                .on(StopAsked.class, message -> view.stop());
         world.inbox().take(MOST_MESSAGES).forEach(table::apply);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/Fleet.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterView.java
@@ -13,7 +13,7 @@
 import org.bramleylatch.core.RouterInput.MoveChanged;
 
 /** Keeps a router's view of the configuration, the endpoints and the keepers. */
-record Fleet(RouterWorld world, RouterLimits limits, long nowMillis) {
+record RouterView(RouterWorld world, RouterLimits limits, long nowMillis) {
 
     /** Takes a configuration unless it is older than the one in force. */
     boolean configure(ConfigurationSeen seen) {
@@ -44,12 +44,14 @@
     /** Takes an endpoint's own word on its load and on whether it leaves. */
     boolean report(EndpointReported report) {
         Optional<EndpointRow> before = world.endpoints().find(report.endpoint());
-        before.filter(row -> !row.leaving() && report.leaving())
+        before.filter(row -> !row.leaving().own() && report.leaving())
                 .ifPresent(row -> world.note(EventKind.ENDPOINT_LEAVING, row.id(), "own word"));
         return world.endpoints()
                 .update(
                         report.endpoint(),
-                        row -> row.reported(report.heldTokens()).leaving(report.leaving()))
+                        row ->
+                                row.reported(report.heldTokens())
+                                        .leaving(row.leaving().own(report.leaving())))
                 .isPresent();
     }
 
@@ -107,7 +109,7 @@
 
     private void unlist(EndpointRow row) {
         if (row.outstanding() > 0) {
-            world.endpoints().put(row.id(), row.leaving(true));
+            world.endpoints().put(row.id(), row.leaving(row.leaving().listed(true)));
         } else {
             world.endpoints().remove(row.id());
         }
--- a/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterWorldTest.java
@@ -321,6 +321,19 @@
         assertThat(refusal().ran()).isEqualTo(RunState.NOT_RUN);
     }
 
+    @Test
+    void anEndpointThatThePlatformListsAsLeavingGetsNoNewWorkWhateverItSaysItself() {
+        EndpointRow leaving = RouterCase.endpoint("engine-1").leaving(Leaving.no().listed(true));
+        router.put(
+                new RouterInput.EndpointsListed(List.of(leaving, RouterCase.endpoint("engine-2"))));
+        router.put(new RouterInput.EndpointReported(leaving.id(), 0, false));
+        router.running(100, 50);
+        router.running(100, 50);
+        assertThat(router.all(StartAttempt.class))
+                .extracting(StartAttempt::endpoint)
+                .doesNotContain(leaving.id());
+    }
+
     private void breakOff() {
         for (int tries = 0; tries < RouterLimits.standard().mostAttempts(); tries++) {
             AttemptId latest = router.last(StartAttempt.class).orElseThrow().attempt();
--- a/ctl/src/main/java/org/bramleylatch/ctl/Reconcile.java
+++ b/ctl/src/main/java/org/bramleylatch/ctl/Reconcile.java
@@ -10,8 +10,8 @@
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.edge.LogPage;
+import org.bramleylatch.edge.LogStreams;
 import org.bramleylatch.edge.PlatformClient;
-import org.bramleylatch.edge.Streams;
 import org.bramleylatch.wire.Json;
 import org.bramleylatch.wire.WireEntry;
 
@@ -49,7 +49,7 @@
     private void step(long offset) {
         try {
             LogPage page =
-                    platform.read(Streams.ACCOUNTS, cursor.readOffset(), MOST_RECORDS, 0).join();
+                    platform.read(LogStreams.ACCOUNTS, cursor.readOffset(), MOST_RECORDS, 0).join();
             cursor.take(
                             page.earliest(),
                             page.records().stream()
--- a/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -49,7 +49,7 @@
      */
     public Cancellable follow(Vertx vertx, List<Address> peers) {
         WebClient client = WebClient.create(vertx);
-        return new LogFollower(platform, Streams.ACCOUNTS)
+        return new LogFollower(platform, LogStreams.ACCOUNTS)
                 .follow(cursor::readOffset, this::take, code -> failed(code, client, peers));
     }
 
@@ -57,7 +57,7 @@
     public void append(List<Numbered> batch) {
         List<String> lines = batch.stream().map(record -> WireEntry.encode(self, record)).toList();
         long last = batch.get(batch.size() - 1).sequence();
-        platform.append(Streams.ACCOUNTS, lines)
+        platform.append(LogStreams.ACCOUNTS, lines)
                 .thenAccept(first -> world.accept(new LedgerFeed.AppendDone(last)))
                 .exceptionally(AccountStream::logLost);
     }
--- a/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
@@ -32,7 +32,7 @@
      */
     public Cancellable follow(
             Consumer<Configuration> newer, Consumer<ConfigReader.Judged> verdicts) {
-        return new LogFollower(platform, Streams.CONFIGURATION)
+        return new LogFollower(platform, LogStreams.CONFIGURATION)
                 .follow(reader::readOffset, page -> take(page, newer, verdicts), this::failed);
     }
 
--- a/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
@@ -55,7 +55,7 @@
                         .onItem()
                         .invoke(pages)
                         .onFailure()
-                        .invoke(failure -> failures.accept(ResultException.codeOf(failure)))
+                        .invoke(failure -> fail(failure, failures))
                         .onFailure()
                         .retry()
                         .withBackOff(FIRST_PAUSE, LONGEST_PAUSE)
@@ -67,4 +67,10 @@
                 .subscribe()
                 .with(p -> {});
     }
+
+    /** Lets the next read answer at once, so that the reader soon knows that the log is back. */
+    private void fail(Throwable failure, Consumer<ResultCode> failures) {
+        waitMillis = 0;
+        failures.accept(ResultException.codeOf(failure));
+    }
 }
