--- a/bench/src/main/java/org/bramleylatch/bench/CapacityMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/CapacityMain.java
@@ -6,6 +6,8 @@
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.BudgetId;
 import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.Event;
+import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.GrantKey;
 import org.bramleylatch.core.GrantPolicy;
 import org.bramleylatch.core.Incarnation;
@@ -24,9 +26,12 @@
 import org.bramleylatch.core.Schedule;
 import org.bramleylatch.core.SnapshotAssembly;
 import org.bramleylatch.core.Usage;
+import org.bramleylatch.core.Zone;
 import org.bramleylatch.edge.FromKeeper;
 import org.bramleylatch.edge.ToKeeper;
 import org.bramleylatch.wire.Compact;
+import org.bramleylatch.wire.Json;
+import org.bramleylatch.wire.TimelineLine;
 import org.bramleylatch.wire.WireEntry;
 
 /**
@@ -54,6 +59,7 @@
         CapacityMain capacity = new CapacityMain();
         print("keeper, reserve to settled, us a request", REQUESTS, capacity::requestMicros);
         print("any reader, decode and fold, us a record", RECORDS, capacity::recordMicros);
+        print("time line, encode, us an event", RECORDS, capacity::eventMicros);
         print("log, usage, bytes a request", BATCH, capacity::usageBytes);
         print("snapshot, bytes a budget with a grant", BUDGETS, capacity::snapshotBytes);
         print("link, bytes a request, both ways", BATCH, capacity::linkBytes);
@@ -143,6 +149,26 @@
         return (System.nanoTime() - begin) / 1e3;
     }
 
+    private double eventMicros(int events) {
+        long bytes = 0;
+        long begin = System.nanoTime();
+        for (int number = 0; number < events; number++) {
+            String detail = "route=seilhelfer budget=member-1 worstCase=" + number;
+            Event event = Event.of(EventKind.REQUEST_ARRIVED, key(), detail);
+            bytes +=
+                    Json.write(
+                                    new TimelineLine(
+                                            number,
+                                            START_MILLIS,
+                                            "router",
+                                            ROUTER,
+                                            Zone.of("langnau"),
+                                            event))
+                            .length();
+        }
+        return bytes == 0 ? 0 : (System.nanoTime() - begin) / 1e3;
+    }
+
     private double usageBytes(int requests) {
         List<Usage> usages = new ArrayList<>();
         for (int number = 0; number < requests; number++) {
--- a/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
@@ -18,7 +18,7 @@
                     Math.max(view.neededTokens() - view.availableTokens(), missing(view, target)));
         }
         if (view.wantedByOthersTokens() > 0 && view.neededTokens() == 0) {
-            return GrantPlan.giveBack(tokensToGiveWay(view, target));
+            return GrantPlan.giveBack(tokensToYield(view, target));
         }
         if (isWorthAsking(view, target)) {
             return GrantPlan.ask(Math.min(missing(view, target), view.budget().freeTokens()));
@@ -43,7 +43,7 @@
                 && Math.min(missing(view, target), view.budget().freeTokens()) >= smallestTokens;
     }
 
-    private long tokensToGiveWay(GrantView view, long target) {
+    private long tokensToYield(GrantView view, long target) {
         long wanted = view.wantedByOthersTokens();
         long available = view.availableTokens();
         long spare = Math.max(0, available - target);
--- a/core/src/main/java/org/bramleylatch/core/EndpointRow.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -4,7 +4,7 @@
  * Is one endpoint as this router sees it.
  *
  * @param memoryTokens how many tokens the endpoint can hold at once; 0 for a plain service
- * @param leaving who says that the endpoint leaves
+ * @param leaving which signals say that the endpoint leaves
  * @param sentTokens what this router's running requests may need there
  * @param unreadTokens the prompts of this router's requests that have given no token yet
  * @param outstanding how many of this router's requests run there
@@ -68,7 +68,7 @@
         return with(sentTokens - tokens, unreadTokens - stillUnreadTokens, outstanding - 1);
     }
 
-    /** Returns the endpoint with the latest words on whether it leaves. */
+    /** Returns the endpoint with the latest signals on whether it leaves. */
     public EndpointRow leaving(Leaving latest) {
         return with(latest, failures, ejectedUntilMillis);
     }
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -117,7 +117,7 @@
             return Optional.of(ResultCode.TOP_UP_REPEATED);
         }
         ledger.budgets().update(record.budget(), row -> row.paid(record.tokens()));
-        serveWishes(record.budget());
+        serveWaitingHolders(record.budget());
         return ACCEPTED;
     }
 
@@ -198,16 +198,16 @@
             ledger.grants().put(grant.key(), after);
         }
         ledger.budgets().update(grant.key().budget(), row -> row.opened(-tokens));
-        serveWishes(grant.key().budget());
+        serveWaitingHolders(grant.key().budget());
     }
 
-    private void serveWishes(BudgetId budget) {
+    private void serveWaitingHolders(BudgetId budget) {
         ledger.grantsOf(budget).stream()
                 .filter(grant -> grant.wantedTokens() > 0)
-                .forEach(this::serveWish);
+                .forEach(this::serveWaitingHolder);
     }
 
-    private void serveWish(GrantRow grant) {
+    private void serveWaitingHolder(GrantRow grant) {
         BudgetId budget = grant.key().budget();
         long free = ledger.budgets().find(budget).map(BudgetRow::freeTokens).orElse(0L);
         long granted = Math.min(free, grant.wantedTokens());
--- a/core/src/main/java/org/bramleylatch/core/RouterView.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterView.java
@@ -41,11 +41,12 @@
         return true;
     }
 
-    /** Takes an endpoint's own word on its load and on whether it leaves. */
+    /** Takes an endpoint's report of its load and of whether it leaves. */
     boolean report(EndpointReported report) {
         Optional<EndpointRow> before = world.endpoints().find(report.endpoint());
         before.filter(row -> !row.leaving().own() && report.leaving())
-                .ifPresent(row -> world.note(EventKind.ENDPOINT_LEAVING, row.id(), "own word"));
+                .ifPresent(
+                        row -> world.note(EventKind.ENDPOINT_LEAVING, row.id(), "its own report"));
         return world.endpoints()
                 .update(
                         report.endpoint(),
