--- a/bench/src/main/java/org/bramleylatch/bench/CpuMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/CpuMain.java
@@ -37,13 +37,7 @@
             deployment
                     .withEngine("engine", "langnau", "v1", "--memory-tokens", "100000000")
                     .withMemory("engine", 100_000_000)
-                    .withPlatform()
-                    .withAdmin("langnau")
-                    .withKeeper("keeper", "langnau")
-                    .withRouter("router", "langnau", "keeper");
-            deployment.awaitReady("admin", "keeper");
-            deployment.publish(PAID_TOKENS);
-            deployment.awaitReady("router");
+                    .withOneEntryVm(PAID_TOKENS);
             new CpuMain(deployment).run();
         }
         System.exit(0);
--- a/bench/src/main/java/org/bramleylatch/bench/Deployment.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Deployment.java
@@ -159,6 +159,21 @@
         return this;
     }
 
+    /**
+     * Starts the platform, the administration API and one entry VM in langnau, publishes the
+     * configuration and pays the tokens in; its processes are "router" and "keeper".
+     */
+    public Deployment withOneEntryVm(long paidTokens) {
+        withPlatform()
+                .withAdmin("langnau")
+                .withKeeper("keeper", "langnau")
+                .withRouter("router", "langnau", "keeper");
+        awaitReady("admin", "keeper");
+        publish(paidTokens);
+        awaitReady("router");
+        return this;
+    }
+
     /** Returns the client for a process. */
     public Caller caller(String name) {
         return Caller.of(addresses.get(name));
--- a/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/HoldMain.java
@@ -103,15 +103,7 @@
                                 wordBytes,
                                 "--memory-tokens",
                                 "1000000000");
-        deployment
-                .withMemory("engine", 1_000_000_000)
-                .withPlatform()
-                .withAdmin("langnau")
-                .withKeeper("keeper", "langnau")
-                .withRouter("router", "langnau", "keeper");
-        deployment.awaitReady("admin", "keeper");
-        deployment.publish(PAID_TOKENS);
-        deployment.awaitReady("router");
+        deployment.withMemory("engine", 1_000_000_000).withOneEntryVm(PAID_TOKENS);
         return deployment;
     }
 
--- a/bench/src/main/java/org/bramleylatch/bench/LatencyMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/LatencyMain.java
@@ -34,13 +34,7 @@
         try (Deployment deployment = Deployment.in(folder, options)) {
             deployment
                     .withEngine("engine", "langnau", "v1", "--step-millis", "2")
-                    .withPlatform()
-                    .withAdmin("langnau")
-                    .withKeeper("keeper", "langnau")
-                    .withRouter("router", "langnau", "keeper");
-            deployment.awaitReady("admin", "keeper");
-            deployment.publish(PAID_TOKENS);
-            deployment.awaitReady("router");
+                    .withOneEntryVm(PAID_TOKENS);
             new LatencyMain().run(deployment);
         }
         System.exit(0);
--- a/proof/src/test/java/org/bramleylatch/proof/MoveProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/MoveProcessTest.java
@@ -29,13 +29,7 @@
                 Deployment.in(folder)
                         .withEngine("engine-old", "langnau", "v1", "--step-millis", "1")
                         .withEngine("engine-new", "langnau", "v2", "--step-millis", "1")
-                        .withPlatform()
-                        .withAdmin("langnau")
-                        .withKeeper("keeper", "langnau")
-                        .withRouter("router", "langnau", "keeper");
-        deployment.awaitReady("admin", "keeper");
-        deployment.publish(PAID_TOKENS);
-        deployment.awaitReady("router");
+                        .withOneEntryVm(PAID_TOKENS);
     }
 
     @AfterEach
