Hold every wrong input to its numbered code with real processes

Change: BadInputProcessTest sends ten wrong requests and starts two processes that cannot start. Ruled out: testing handlers in process, which would pass over the body limit and the exit codes.

--- a/bench/src/main/java/org/bramleylatch/bench/Deployment.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Deployment.java
@@ -135,6 +135,12 @@
         return startKeeper(name, zone, List.of(), more);
     }
 
+    /** Starts a keeper in the zone that is to listen where another process does. */
+    public Deployment withKeeperAt(String name, String zone, String other) {
+        addresses.put(name, addresses.get(other));
+        return withKeeper(name, zone);
+    }
+
     /** Starts a keeper in the zone that may ask another one for its ledger. */
     public Deployment withKeeperAndPeer(String name, String zone, String peer) {
         return startKeeper(name, zone, List.of(addressOf(peer)), "");
--- /dev/null
+++ b/proof/src/test/java/org/bramleylatch/proof/BadInputProcessTest.java
@@ -0,0 +1,85 @@
+package org.bramleylatch.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.bramleylatch.bench.Await;
+import org.bramleylatch.bench.Caller;
+import org.bramleylatch.bench.Deployment;
+import org.bramleylatch.bench.Documents;
+import org.bramleylatch.core.BudgetStatement;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.wire.Json;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Gives real processes input that is wrong; each fault has its number and nothing is billed. */
+class BadInputProcessTest {
+    private static final long PAID_TOKENS = 1_000;
+    private static final long PATIENCE_MILLIS = 30_000;
+    private static final int FIVE_MIB = 5 * 1024 * 1024;
+    private static final String CHAT_PATH = "/v1/chat/completions";
+    private static final String BUDGET_PATH = "/admin/v1/budgets/" + Deployment.BUDGET;
+
+    @TempDir Path folder;
+
+    private Deployment deployment;
+
+    @AfterEach
+    void stop() {
+        deployment.close();
+    }
+
+    @Test
+    void everyWrongRequestIsRefusedWithItsNumberAndNothingIsBilled() {
+        deployment =
+                Deployment.in(folder)
+                        .withEngine("engine", "langnau", "v1")
+                        .withService("ordnerei", "langnau")
+                        .withOneEntryVm(PAID_TOKENS);
+        Caller caller = deployment.caller("router").withKey(Deployment.MEMBER_KEY);
+        assertCode(caller.post(CHAT_PATH, "{oops"), ResultCode.MALFORMED_JSON);
+        assertCode(caller.post(CHAT_PATH, "{}"), ResultCode.FIELD_INVALID);
+        String otherModel = Documents.chat(1, 5, true).replace("seilhelfer-1", "other");
+        assertCode(caller.post(CHAT_PATH, otherModel), ResultCode.UNKNOWN_MODEL);
+        assertCode(caller.get("/nowhere"), ResultCode.UNKNOWN_ROUTE);
+        assertCode(caller.post(CHAT_PATH, "x".repeat(FIVE_MIB)), ResultCode.BODY_TOO_LARGE);
+        assertCode(caller.post("/bookings", "{}"), ResultCode.IDEMPOTENCY_KEY_MISSING);
+        assertCode(
+                caller.with("idempotency-key", "17").post("/bookings", "{}"),
+                ResultCode.IDEMPOTENCY_KEY_MALFORMED);
+        assertCode(
+                caller.post(CHAT_PATH, Documents.chat(1, 5_000, true)),
+                ResultCode.BUDGET_EXHAUSTED);
+        Caller admin = deployment.caller("admin").withKey(Deployment.ADMIN_KEY);
+        assertCode(admin.get("/admin/v1/budgets/nobodys"), ResultCode.UNKNOWN_BUDGET);
+        assertCode(admin.put("/admin/v1/sections/routes", "[{}]"), ResultCode.REVISION_CONFLICT);
+        BudgetStatement account = Json.read(admin.get(BUDGET_PATH).body(), BudgetStatement.class);
+        assertThat(account.settledTokens()).isZero();
+        assertThat(account.balances()).isTrue();
+    }
+
+    @Test
+    void aProcessThatCannotStartEndsWithOneAndSaysWhy() throws IOException {
+        deployment = Deployment.in(folder).withPlatform().withAdmin("langnau");
+        deployment.awaitReady("admin");
+        deployment.withKeeper("wrong", "langnau", ",\"horizonHours\":\"two\"");
+        assertEnds("wrong", "SETTINGS_INVALID", "wrong.json", "/horizonHours");
+        deployment.withKeeperAt("taken", "langnau", "admin");
+        assertEnds("taken", "PORT_IN_USE");
+    }
+
+    private void assertEnds(String name, String... reasons) throws IOException {
+        Await.until(name + " ends", PATIENCE_MILLIS, () -> !deployment.process(name).isAlive());
+        assertThat(deployment.process(name).exitValue()).isEqualTo(1);
+        assertThat(Files.readString(folder.resolve(name + ".log"))).contains(reasons);
+    }
+
+    private static void assertCode(Caller.Reply reply, ResultCode code) {
+        assertThat(reply.status()).as(reply.body()).isEqualTo(code.httpStatus());
+        assertThat(reply.body()).contains("\"code\":" + code.number(), "\"run\":\"not_run\"");
+    }
+}
