Split an endpoint's row into its load and its health

Change: EndpointLoad and EndpointHealth are types of their own, each with its few successors. Ruled out: changing any bound, test or decision; none is. Conclusion: behaviour unchanged.

--- a/bench/src/main/java/org/bramleylatch/bench/PlacementMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/PlacementMain.java
@@ -80,6 +80,8 @@
                         ? Optional.empty()
                         : random.ints(2, 0, candidates.size())
                                 .mapToObj(candidates::get)
-                                .min(Comparator.comparingInt(EndpointRow::outstanding));
+                                .min(
+                                        Comparator.comparingInt(
+                                                (EndpointRow row) -> row.load().outstanding()));
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/AffinityPlacement.java
+++ b/core/src/main/java/org/bramleylatch/core/AffinityPlacement.java
@@ -34,8 +34,9 @@
         boolean cached = preferred.filter(row.id()::equals).isPresent();
         double prompt = spec.promptTokens() * (cached ? CACHED_PART : 1);
         double distance = row.zone().equals(zone) ? 0 : OTHER_ZONE_TOKENS;
-        double busy = row.heldTokens() * HELD_PART + row.outstanding() * OUTSTANDING_TOKENS;
-        return row.unreadTokens() + prompt + busy + distance;
+        double busy =
+                row.load().heldTokens() * HELD_PART + row.load().outstanding() * OUTSTANDING_TOKENS;
+        return row.load().unreadTokens() + prompt + busy + distance;
     }
 
     private static long weight(RequestSpec spec, EndpointRow row) {
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/EndpointHealth.java
@@ -0,0 +1,27 @@
+package org.bramleylatch.core;
+
+/**
+ * Is how one endpoint's attempts went lately; repeated failures keep new work away for a while.
+ *
+ * @param failures failed attempts since the last good one
+ * @param ejectedUntilMillis no new work before this time
+ */
+public record EndpointHealth(int failures, long ejectedUntilMillis) {
+    private static final int FAILURES_TO_EJECT = 3;
+    private static final long EJECT_MILLIS = 2_000;
+    private static final int MOST_DOUBLINGS = 4;
+    private static final EndpointHealth GOOD = new EndpointHealth(0, 0);
+
+    /** Returns the health of an endpoint without failures. */
+    public static EndpointHealth good() {
+        return GOOD;
+    }
+
+    /** Returns the health after another failure. */
+    public EndpointHealth failed(long nowMillis) {
+        int count = failures + 1;
+        int doublings = Math.min(MOST_DOUBLINGS, count - FAILURES_TO_EJECT);
+        long until = count < FAILURES_TO_EJECT ? 0 : nowMillis + (EJECT_MILLIS << doublings);
+        return new EndpointHealth(count, until);
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/Placement.java
+++ b/core/src/main/java/org/bramleylatch/core/Placement.java
@@ -26,6 +26,6 @@
     /** Returns the baseline that takes the endpoint with the fewest own requests. */
     static Placement leastOutstanding() {
         return (spec, zone, candidates) ->
-                candidates.stream().min(Comparator.comparingInt(EndpointRow::outstanding));
+                candidates.stream().min(Comparator.comparingInt(row -> row.load().outstanding()));
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterView.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterView.java
@@ -109,7 +109,7 @@
     }
 
     private void unlist(EndpointRow row) {
-        if (row.outstanding() > 0) {
+        if (row.load().outstanding() > 0) {
             world.endpoints().put(row.id(), row.leaving(row.leaving().listed(true)));
         } else {
             world.endpoints().remove(row.id());
