--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -11,6 +11,9 @@
 
 /** Brings a request from its arrival to the queue: tokens set aside, single run claimed. */
 record Admission(RouterWorld world, RouterLimits limits, long nowMillis) {
+    /** A request that waits longer than this part of its target could hardly meet it. */
+    private static final int QUEUED_PART_OF_TARGET = 2;
+
     private static final long MOST_AHEAD_MILLIS = 10 * 60 * 1_000L;
 
     /** Admits a request or refuses it at once. */
@@ -23,8 +26,7 @@
         }
         world.requests().put(row.spec().id(), row);
         world.requestsByKey().put(row.spec().key(), row.spec().id());
-        RetryRow allowance = world.retries().findOrAdd(row.spec().route().name(), RetryRow::full);
-        world.retries().put(row.spec().route().name(), allowance.earned(limits.retryPermille()));
+        Retries.earn(world, row.spec(), limits);
         world.timers()
                 .set(new RouterTimer.RequestDeadline(row.spec().id()), row.spec().deadlineMillis());
         world.note(EventKind.REQUEST_ARRIVED, row.spec().key(), describe(row.spec()));
@@ -113,14 +115,14 @@
                 new RouterOutput.ToKeeper(
                         keeper.get(),
                         new KeeperInput.ReserveAsked(
-                                world.self(), spec.key(), spec.budget(), spec.worstCaseTokens())));
+                                world.self(), spec.key(), spec.budget(), spec.billableTokens())));
     }
 
     private Optional<ResultCode> refusal(RequestSpec spec) {
         if (world.isStopping()) {
             return Optional.of(ResultCode.SHUTTING_DOWN);
         }
-        if (!spec.route().repeatable() && !spec.keyGiven()) {
+        if (spec.route().isClaimed() && !spec.keyGiven()) {
             return Optional.of(ResultCode.IDEMPOTENCY_KEY_MISSING);
         }
         if (KeyWindow.isExpired(spec.key(), nowMillis)) {
@@ -147,13 +149,13 @@
 
     private void next(RequestRow row) {
         RequestSpec spec = row.spec();
-        if (row.grant().isEmpty() && spec.worstCaseTokens() > 0) {
+        if (row.grant().isEmpty() && spec.billableTokens() > 0) {
             world.timers()
                     .set(
                             new RouterTimer.ReserveWait(spec.id()),
                             nowMillis + limits.reserveMillis());
             askKeeper(world, row);
-        } else if (!spec.route().repeatable()) {
+        } else if (spec.route().isClaimed()) {
             claim(row);
         } else {
             queue(row);
@@ -178,6 +180,13 @@
     private void queue(RequestRow row) {
         world.requests().put(row.spec().id(), row.in(Stage.QUEUED));
         world.queued().add(row.spec().id());
+        long targetMillis = row.spec().route().terms().targetMillis();
+        if (targetMillis > 0) {
+            world.timers()
+                    .set(
+                            new RouterTimer.QueueWait(row.spec().id()),
+                            nowMillis + targetMillis / QUEUED_PART_OF_TARGET);
+        }
     }
 
     private Optional<RequestRow> claiming(RequestKey key) {
@@ -209,7 +218,9 @@
     }
 
     private static String describe(RequestSpec spec) {
-        return "route="
+        return "request="
+                + spec.id()
+                + " route="
                 + spec.route().name()
                 + " budget="
                 + spec.budget()
--- a/core/src/main/java/org/bramleylatch/core/Answers.java
+++ b/core/src/main/java/org/bramleylatch/core/Answers.java
@@ -57,12 +57,22 @@
 
     /** Passes a service's whole answer on. */
     boolean answer(ServiceAnswered answered) {
+        if (answered.status() >= FIRST_SERVER_ERROR && isWorthRetrying(answered.attempt())) {
+            String detail = "status " + answered.status();
+            return fail(new AttemptFailed(answered.attempt(), RunState.RAN, detail));
+        }
         Optional<AttemptRow> attempt = Outcomes.closeAttempt(world, answered.attempt());
         if (attempt.isEmpty()) {
             return drop(answered.attempt(), "answer of no such attempt");
         }
         noteHealth(attempt.get(), answered.status() < FIRST_SERVER_ERROR);
-        world.endpoints().update(attempt.get().endpoint(), EndpointRow::succeeded);
+        world.endpoints()
+                .update(
+                        attempt.get().endpoint(),
+                        row ->
+                                answered.status() < FIRST_SERVER_ERROR
+                                        ? row.succeeded()
+                                        : row.failed(nowMillis));
         world.note(EventKind.ATTEMPT_ENDED, answered.attempt(), "status=" + answered.status());
         world.requests()
                 .find(attempt.get().request())
@@ -79,7 +89,10 @@
         world.send(new RouterOutput.CancelAttempt(failed.attempt()));
         EndpointId endpoint = attempt.get().endpoint();
         noteHealth(attempt.get(), false);
-        world.endpoints().update(endpoint, row -> row.failed(nowMillis));
+        world.endpoints()
+                .update(
+                        endpoint,
+                        row -> failed.arrived() ? row.failed(nowMillis) : row.lost(nowMillis));
         world.note(EventKind.ATTEMPT_FAILED, failed.attempt(), endpoint + " " + failed.detail());
         world.requests()
                 .find(attempt.get().request())
@@ -104,6 +117,15 @@
         return row.isPresent();
     }
 
+    private boolean isWorthRetrying(AttemptId attempt) {
+        return world.attempts()
+                .find(attempt)
+                .flatMap(row -> world.requests().find(row.request()))
+                .filter(row -> row.spec().route().repeatable())
+                .filter(row -> Retries.allows(world, limits, row, true))
+                .isPresent();
+    }
+
     private void pause(AttemptId id, boolean isPaused) {
         world.attempts().update(id, row -> row.paused(isPaused, nowMillis));
         world.send(new RouterOutput.PauseAttempt(id, isPaused));
@@ -139,18 +161,26 @@
         world.requests().put(spec.id(), row.in(Stage.SETTLING));
         world.timers().clear(new RouterTimer.RequestDeadline(spec.id()));
         world.timers().set(new RouterTimer.HoldWait(spec.key()), nowMillis + limits.holdMillis());
+        if (row.grant().isEmpty()) {
+            Settlements.finish(world, row);
+            return;
+        }
         long tokens = spec.promptTokens() + row.position();
         Settlements.open(world, row, tokens, Optional.of(spec.id()));
     }
 
     private void passOn(RequestRow row, int status, String body) {
         RequestSpec spec = row.spec();
-        if (!spec.route().repeatable()) {
+        if (spec.route().isClaimed()) {
             world.keeperOf(spec.budget())
                     .ifPresent(keeper -> recordOutcome(keeper, spec.key(), status, body));
         }
         if (row.grant().isPresent()) {
-            Settlements.open(world, row, spec.worstCaseTokens(), Optional.empty());
+            long tokens =
+                    spec.route().kind() == RouteKind.CHAT
+                            ? spec.promptTokens() + row.position()
+                            : spec.worstCaseTokens();
+            Settlements.open(world, row, tokens, Optional.empty());
         }
         Outcomes.deliverService(world, row, status, body);
     }
@@ -165,36 +195,31 @@
 
     private void retryOrRefuse(RequestRow row, EndpointId endpoint, AttemptFailed failed) {
         RunState ran = combine(row, failed.ran());
-        RequestRow after = row.failedAt(endpoint, ran);
-        if (mayRetry(after)) {
-            spendRetry(after);
+        RequestRow after = row.failedAt(endpoint, ran, failed.ran() != RunState.NOT_RUN);
+        if (Retries.allows(world, limits, after, failed.arrived())) {
+            if (failed.arrived()) {
+                Retries.spend(world, after.spec());
+            }
             world.requests().put(after.spec().id(), after.in(Stage.QUEUED));
             world.queued().add(after.spec().id());
         } else {
-            ResultCode code =
-                    row.position() > 0 ? ResultCode.ANSWER_INCOMPLETE : ResultCode.ENDPOINT_FAILED;
-            Outcomes.refuse(world, after, code, failed.detail());
+            Outcomes.refuse(world, after, broken(after), failed.detail());
         }
     }
 
+    private static ResultCode broken(RequestRow row) {
+        if (row.position() > 0) {
+            return ResultCode.ANSWER_INCOMPLETE;
+        }
+        return row.ran() == RunState.NOT_RUN && row.spec().route().terms().waitsOutSilence()
+                ? ResultCode.OVERLOADED
+                : ResultCode.ENDPOINT_FAILED;
+    }
+
     private static RunState combine(RequestRow row, RunState latest) {
         boolean earlierMayHaveRun = row.attempts() > 1 && row.ran() != RunState.NOT_RUN;
         return row.position() > 0
                 ? RunState.RAN
                 : earlierMayHaveRun && latest == RunState.NOT_RUN ? RunState.UNKNOWN : latest;
     }
-
-    private boolean mayRetry(RequestRow row) {
-        boolean safe = row.spec().route().repeatable() || row.ran() == RunState.NOT_RUN;
-        boolean allowed =
-                world.retries()
-                        .find(row.spec().route().name())
-                        .filter(RetryRow::allows)
-                        .isPresent();
-        return safe && allowed && row.attempts() < limits.mostAttempts();
-    }
-
-    private void spendRetry(RequestRow row) {
-        world.retries().update(row.spec().route().name(), RetryRow::spent);
-    }
 }
--- a/core/src/main/java/org/bramleylatch/core/BudgetId.java
+++ b/core/src/main/java/org/bramleylatch/core/BudgetId.java
@@ -5,6 +5,9 @@
 /** Identifies a prepaid budget. */
 public record BudgetId(String value) implements Comparable<BudgetId> {
 
+    /** Stands for no budget, where requests are not metered. */
+    public static final BudgetId NONE = new BudgetId("");
+
     /** Checks that the budget id is present. */
     public BudgetId {
         requireNonNull(value, "budget id");
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/CallSystem.java
@@ -0,0 +1,52 @@
+package org.bramleylatch.core;
+
+import java.util.Optional;
+
+/** Finds the route and the payer of a call in the configuration, and admits the request. */
+record CallSystem(RouterWorld world, Admission admission) {
+
+    boolean resolve(RouterInput.CallArrived arrived) {
+        Call call = arrived.call();
+        Configuration configuration = world.configuration();
+        if (!configuration.isKnown()) {
+            return refuse(call, ResultCode.NOT_CONFIGURED);
+        }
+        Optional<RouteRow> route = configuration.routeOf(call.host(), call.path());
+        if (route.isEmpty()) {
+            return refuse(call, ResultCode.UNKNOWN_ROUTE);
+        }
+        Optional<MemberRow> member = call.keySha256().flatMap(configuration::member);
+        if (member.isEmpty() && !route.get().terms().open() && configuration.hasMembers()) {
+            return refuse(call, ResultCode.UNAUTHENTICATED);
+        }
+        return admission.admit(new RouterInput.RequestArrived(spec(call, route.get(), member)));
+    }
+
+    private static RequestSpec spec(Call call, RouteRow route, Optional<MemberRow> member) {
+        RouteTerms terms = route.terms();
+        int priority = member.flatMap(MemberRow::priority).orElse(terms.priority());
+        boolean metered = member.filter(row -> !row.unmetered()).isPresent();
+        return new RequestSpec(
+                call.id(),
+                call.key(),
+                true,
+                member.map(MemberRow::budget).orElse(BudgetId.NONE),
+                route,
+                call.promptTokens(),
+                call.mostTokens(),
+                call.prefixHash(),
+                call.arrivedMillis() + terms.waitMillis(call.patienceMillis()),
+                new RequestTraits(call.sharedTokens(), priority, metered));
+    }
+
+    private boolean refuse(Call call, ResultCode code) {
+        String detail = "host=" + call.host() + " path=" + call.path();
+        long revision = world.configuration().revision();
+        world.send(new RouterOutput.Refuse(call.id(), code, RunState.NOT_RUN, detail));
+        world.note(
+                EventKind.REQUEST_REFUSED,
+                call.key(),
+                code + " request=" + call.id() + " " + detail + " configuration=" + revision);
+        return false;
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/Configuration.java
+++ b/core/src/main/java/org/bramleylatch/core/Configuration.java
@@ -22,6 +22,24 @@
         return new Configuration(-1, List.of(), List.of());
     }
 
+    /** Returns true if a configuration has been read. */
+    public boolean isKnown() {
+        return revision >= 0;
+    }
+
+    /** Returns true if callers have keys. */
+    public boolean hasMembers() {
+        return !members.isEmpty();
+    }
+
+    /** Returns the route of the host with the longest prefix of the path. */
+    public Optional<RouteRow> routeOf(String host, String path) {
+        return routes.stream()
+                .filter(row -> path.startsWith(row.selector()))
+                .filter(row -> row.terms().host().filter(host::equals).isPresent())
+                .max(Comparator.comparingInt(row -> row.selector().length()));
+    }
+
     /** Returns the member whose key has the given digest. */
     public Optional<MemberRow> member(String keySha256) {
         return members.stream().filter(row -> row.keySha256().equals(keySha256)).findFirst();
--- a/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
@@ -6,8 +6,8 @@
  * @param horizonHours for how long a holder should be able to serve while cut off
  * @param smallestTokens the smallest amount worth asking for
  */
-record DemandGrantPolicy(double horizonHours, long smallestTokens) implements GrantPolicy {
-    private static final double LOW_WATERMARK = 0.5;
+record DemandGrantPolicy(double horizonHours, long smallestTokens, double lowWatermark)
+        implements GrantPolicy {
     private static final double HIGH_WATERMARK = 2.0;
 
     @Override
@@ -39,7 +39,7 @@
 
     private boolean isWorthAsking(GrantView view, long target) {
         return view.demandTokensPerHour() > 0
-                && view.ownOpenTokens() < target * LOW_WATERMARK
+                && view.ownOpenTokens() < target * lowWatermark
                 && Math.min(missing(view, target), view.budget().freeTokens()) >= smallestTokens;
     }
 
--- a/core/src/main/java/org/bramleylatch/core/EndpointHealth.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointHealth.java
@@ -10,6 +10,8 @@
     private static final int FAILURES_TO_EJECT = 3;
     private static final long EJECT_MILLIS = 2_000;
     private static final int MOST_DOUBLINGS = 4;
+    private static final long UNREACHABLE_MILLIS = 500;
+    private static final int UNREACHABLE_DOUBLINGS = 2;
     private static final EndpointHealth GOOD = new EndpointHealth(0, 0);
 
     /** Returns the health of an endpoint without failures. */
@@ -17,6 +19,12 @@
         return GOOD;
     }
 
+    /** Returns true if new work may go to it, given what it is already at work on. */
+    public boolean admits(long nowMillis, int outstanding) {
+        boolean onTrial = failures >= FAILURES_TO_EJECT;
+        return nowMillis >= ejectedUntilMillis && (!onTrial || outstanding == 0);
+    }
+
     /** Returns the health after another failure. */
     public EndpointHealth failed(long nowMillis) {
         int count = failures + 1;
@@ -24,4 +32,11 @@
         long until = count < FAILURES_TO_EJECT ? 0 : nowMillis + (EJECT_MILLIS << doublings);
         return new EndpointHealth(count, until);
     }
+
+    /** Returns the health after no connection could be made; one such failure is enough. */
+    public EndpointHealth unreachable(long nowMillis) {
+        int count = Math.max(FAILURES_TO_EJECT, failures + 1);
+        int doublings = Math.min(UNREACHABLE_DOUBLINGS, count - FAILURES_TO_EJECT);
+        return new EndpointHealth(count, nowMillis + (UNREACHABLE_MILLIS << doublings));
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/EndpointRow.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -3,6 +3,7 @@
 /**
  * Is one endpoint as this router sees it.
  *
+ * @param slots the most requests that a router runs there at once; 0 for no bound
  * @param memoryTokens how many tokens the endpoint can hold at once; 0 for a plain service
  * @param leaving which signals say that the endpoint leaves
  * @param load what the endpoint is thought to hold
@@ -14,6 +15,7 @@
         Zone zone,
         Version version,
         long memoryTokens,
+        int slots,
         Leaving leaving,
         EndpointLoad load,
         EndpointHealth health) {
@@ -27,6 +29,7 @@
                 zone,
                 version,
                 memoryTokens,
+                0,
                 Leaving.no(),
                 EndpointLoad.none(),
                 EndpointHealth.good());
@@ -34,12 +37,13 @@
 
     /** Returns true if a request of the given size fits into the endpoint's memory. */
     public boolean fits(long tokens) {
-        return memoryTokens == 0 || load.heldTokens() + tokens <= memoryTokens;
+        boolean roomy = memoryTokens == 0 || load.heldTokens() + tokens <= memoryTokens;
+        return roomy && (slots == 0 || load.outstanding() < slots);
     }
 
     /** Returns true if new work may be sent at the given time. */
     public boolean isOpen(long nowMillis) {
-        return !leaving.isSaid() && nowMillis >= health.ejectedUntilMillis();
+        return !leaving.isSaid() && health.admits(nowMillis, load.outstanding());
     }
 
     /** Returns the endpoint after a request with the given prompt was sent. */
@@ -72,6 +76,17 @@
         return with(leaving, load, health.failed(nowMillis));
     }
 
+    /** Returns the row after no connection to the endpoint could be made. */
+    public EndpointRow lost(long nowMillis) {
+        return with(leaving, load, health.unreachable(nowMillis));
+    }
+
+    /** Returns the row with a bound on the requests that it runs at once; 0 for none. */
+    public EndpointRow withSlots(int most) {
+        return new EndpointRow(
+                id, backEnd, zone, version, memoryTokens, most, leaving, load, health);
+    }
+
     /** Returns the endpoint after it told what it holds. */
     public EndpointRow reported(long tokens) {
         return with(leaving, load.reported(tokens), health);
@@ -84,6 +99,6 @@
 
     private EndpointRow with(Leaving latest, EndpointLoad newLoad, EndpointHealth newHealth) {
         return new EndpointRow(
-                id, backEnd, zone, version, memoryTokens, latest, newLoad, newHealth);
+                id, backEnd, zone, version, memoryTokens, slots, latest, newLoad, newHealth);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
@@ -7,6 +7,25 @@
     /** Returns what to do about the grant that the view shows. */
     GrantPlan plan(GrantView view);
 
+    /** Milliseconds in an hour. */
+    double MILLIS_PER_HOUR = 3_600_000;
+
+    /** The part of its target below which a holder asks for more. */
+    double HALF = 0.5;
+
+    /** The same where grants last for seconds and the log may be away for most of them. */
+    double MOST = 0.8;
+
+    /**
+     * Returns the policy by demand for grants that last for seconds.
+     *
+     * @param horizonMillis how long a full grant lasts at the forecast demand
+     * @param smallestTokens what is held beyond that, and the least that is worth asking for
+     */
+    static GrantPolicy bySeconds(long horizonMillis, long smallestTokens) {
+        return new DemandGrantPolicy(horizonMillis / MILLIS_PER_HOUR, smallestTokens, MOST);
+    }
+
     /**
      * Returns the policy that shares a budget by forecast demand. A holder keeps enough for the
      * horizon, never more than its share, and gives way to requests that wait elsewhere.
@@ -15,7 +34,7 @@
      * @param smallestTokens the smallest amount worth asking for
      */
     static GrantPolicy byDemand(double horizonHours, long smallestTokens) {
-        return new DemandGrantPolicy(horizonHours, smallestTokens);
+        return new DemandGrantPolicy(horizonHours, smallestTokens, HALF);
     }
 
     /**
--- a/core/src/main/java/org/bramleylatch/core/HoldingRow.java
+++ b/core/src/main/java/org/bramleylatch/core/HoldingRow.java
@@ -9,6 +9,7 @@
  * @param askInFlight true while an ask has not been read back
  * @param demandTokensPerHour the forecast, from what was reserved lately
  * @param demandMillis when the forecast was last brought up to date
+ * @param halfLifeMillis the time in which the weight of past demand halves
  */
 public record HoldingRow(
         BudgetId budget,
@@ -17,16 +18,14 @@
         long returningTokens,
         boolean askInFlight,
         double demandTokensPerHour,
-        long demandMillis) {
-
-    /** The time in which the weight of past demand halves, in milliseconds. */
-    public static final long DEMAND_HALF_LIFE_MILLIS = 10 * 60 * 1000L;
+        long demandMillis,
+        long halfLifeMillis) {
 
     private static final double MILLIS_PER_HOUR = 60 * 60 * 1000.0;
 
     /** Returns a holding of which nothing is in use. */
-    public static HoldingRow of(BudgetId budget, long nowMillis) {
-        return new HoldingRow(budget, 0, 0, 0, false, 0, nowMillis);
+    public static HoldingRow of(BudgetId budget, long nowMillis, long halfLifeMillis) {
+        return new HoldingRow(budget, 0, 0, 0, false, 0, nowMillis, halfLifeMillis);
     }
 
     /** Returns the tokens that are spoken for. */
@@ -56,7 +55,7 @@
 
     /** Returns the holding after a request for the given tokens arrived. */
     public HoldingRow demanded(long tokens, long nowMillis) {
-        double added = tokens * Math.log(2) * MILLIS_PER_HOUR / DEMAND_HALF_LIFE_MILLIS;
+        double added = tokens * Math.log(2) * MILLIS_PER_HOUR / halfLifeMillis;
         return new HoldingRow(
                 budget,
                 reservedTokens,
@@ -64,17 +63,25 @@
                 returningTokens,
                 askInFlight,
                 demandAt(nowMillis) + added,
-                nowMillis);
+                nowMillis,
+                halfLifeMillis);
     }
 
     /** Returns the forecast at the given time, in tokens an hour. */
     public double demandAt(long nowMillis) {
-        double halfLives = (nowMillis - demandMillis) / (double) DEMAND_HALF_LIFE_MILLIS;
+        double halfLives = (nowMillis - demandMillis) / (double) halfLifeMillis;
         return demandTokensPerHour * Math.pow(0.5, Math.max(0, halfLives));
     }
 
     private HoldingRow with(long reserved, long pending, long returning, boolean asking) {
         return new HoldingRow(
-                budget, reserved, pending, returning, asking, demandTokensPerHour, demandMillis);
+                budget,
+                reserved,
+                pending,
+                returning,
+                asking,
+                demandTokensPerHour,
+                demandMillis,
+                halfLifeMillis);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/Incarnation.java
+++ b/core/src/main/java/org/bramleylatch/core/Incarnation.java
@@ -19,6 +19,18 @@
         return new Incarnation(value);
     }
 
+    /**
+     * Returns true if the other is an earlier or later run of the same process on the same VM. The
+     * text is the name of the process and its VM, a hyphen, and what is new in each run.
+     */
+    public boolean succeeds(Incarnation other) {
+        return !equals(other) && place().equals(other.place());
+    }
+
+    private String place() {
+        return value.substring(0, Math.max(0, value.lastIndexOf('-')));
+    }
+
     @Override
     public int compareTo(Incarnation other) {
         return value.compareTo(other.value);
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -5,6 +5,7 @@
 import org.bramleylatch.core.KeeperInput.AttemptNoted;
 import org.bramleylatch.core.KeeperInput.EndpointReported;
 import org.bramleylatch.core.KeeperInput.FromLog;
+import org.bramleylatch.core.KeeperInput.FundsSeen;
 import org.bramleylatch.core.KeeperInput.IntentAsked;
 import org.bramleylatch.core.KeeperInput.IntentEnded;
 import org.bramleylatch.core.KeeperInput.MoveSeen;
@@ -46,6 +47,7 @@
                     .on(RouterSeen.class, this::meetRouter)
                     .on(RouterLost.class, this::loseRouter)
                     .on(EndpointReported.class, this::settleOrphan)
+                    .on(FundsSeen.class, this::fund)
                     .on(FromLog.class, input -> feed().apply(input.feed()))
                     .on(StopAsked.class, message -> stop());
         }
@@ -75,7 +77,8 @@
                     .put(
                             ask.key(),
                             ReservationRow.of(ask.key(), ask.router(), ask.budget(), ask.tokens()));
-            HoldingRow holding = world.holding(ask.budget(), nowMillis);
+            HoldingRow holding =
+                    world.holding(ask.budget(), nowMillis, limits.demandHalfLifeMillis());
             world.holdings().put(ask.budget(), holding.demanded(ask.tokens(), nowMillis));
             KeeperTimer wait = new KeeperTimer.ReserveWait(ask.key());
             world.timers().set(wait, nowMillis + limits.reserveWaitMillis());
@@ -139,6 +142,9 @@
         private boolean hold(UsageGiven given) {
             RequestKey key = given.usage().key();
             world.outbox().add(new KeeperOutput.UsageHeld(given.router(), key));
+            if (limits.usageSummed()) {
+                return bill(given);
+            }
             if (world.pendingUsages().has(key)) {
                 return false;
             }
@@ -151,6 +157,30 @@
             return true;
         }
 
+        private boolean bill(UsageGiven given) {
+            RequestKey key = given.usage().key();
+            BudgetId budget = given.grant().budget();
+            long tokens = given.usage().tokens();
+            Reservations.drop(world, key);
+            world.holdings().update(budget, row -> row.pending(tokens));
+            world.append(new LedgerRecord.UsageSummed(budget, world.self(), tokens));
+            world.outbox().add(new KeeperOutput.UsageDurable(given.router(), key));
+            world.note(EventKind.USAGE_HELD, key, "budget=" + budget + " tokens=" + tokens);
+            return true;
+        }
+
+        private boolean fund(FundsSeen seen) {
+            seen.funds().stream()
+                    .filter(funds -> funds.paidTokens() > paidTokens(funds.budget()))
+                    .map(f -> new LedgerRecord.BudgetFunded(f.budget(), f.paidTokens()))
+                    .forEach(world::append);
+            return true;
+        }
+
+        private long paidTokens(BudgetId budget) {
+            return world.ledger().budgets().find(budget).map(BudgetRow::paidTokens).orElse(-1L);
+        }
+
         private boolean claim(IntentAsked ask) {
             if (!world.isLogReachable() || world.isStopping()) {
                 return refuseClaim(ask, ResultCode.LOG_UNAVAILABLE);
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.core;
 
+import java.util.List;
 import java.util.OptionalLong;
 
 /** Is a message into a keeper's world. */
@@ -42,6 +43,15 @@
     /** The log tells something. */
     record FromLog(LedgerFeed feed) implements KeeperInput {}
 
+    /** The operator's configuration states what was paid into budgets. */
+    record FundsSeen(List<BudgetFunds> funds) implements KeeperInput {
+
+        /** Copies the list. */
+        public FundsSeen {
+            funds = List.copyOf(funds);
+        }
+    }
+
     /** A planned stop begins. */
     record StopAsked() implements KeeperInput {}
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
@@ -15,7 +15,8 @@
         return Schedule.of(
                 new KeeperInbox(limits),
                 new KeeperTimers(limits),
-                new ReservingSystem(),
+                new SuccessionSystem(),
+                new ReservingSystem(limits),
                 new GrantSystem(policy),
                 new MoveTellingSystem(),
                 new KeeperStopSystem(),
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -20,6 +20,7 @@
     private final Set<Incarnation> routers = new HashSet<>();
     private final Table<RouteName, Long> toldMoves = Table.empty();
     private final Set<BudgetId> touched = new HashSet<>();
+    private final Set<Incarnation> freezing = new HashSet<>();
     private final LogWriter writer = LogWriter.empty();
     private final Incarnation self;
     private Ledger ledger = Ledger.empty();
@@ -27,6 +28,7 @@
     private long snapshotOffset;
     private long snapshotMillis;
     private boolean logReachable;
+    private boolean logLost;
     private boolean stopping;
 
     private KeeperWorld(Incarnation self) {
@@ -115,6 +117,10 @@
         return toldMoves;
     }
 
+    Set<Incarnation> freezing() {
+        return freezing;
+    }
+
     Set<BudgetId> touched() {
         return touched;
     }
@@ -134,6 +140,12 @@
 
     void setLogReachable(boolean reachable) {
         logReachable = reachable;
+        logLost = !reachable;
+    }
+
+    /** Returns true once the log has failed to answer, until it answers again. */
+    boolean isLogLost() {
+        return logLost;
     }
 
     long snapshotMillis() {
@@ -156,8 +168,8 @@
         stopping = true;
     }
 
-    HoldingRow holding(BudgetId budget, long nowMillis) {
-        return holdings.findOrAdd(budget, () -> HoldingRow.of(budget, nowMillis));
+    HoldingRow holding(BudgetId budget, long nowMillis, long halfLifeMillis) {
+        return holdings.findOrAdd(budget, () -> HoldingRow.of(budget, nowMillis, halfLifeMillis));
     }
 
     void append(LedgerRecord record) {
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.bramleylatch.core.LedgerRecord.BudgetCreated;
+import org.bramleylatch.core.LedgerRecord.BudgetFunded;
 import org.bramleylatch.core.LedgerRecord.BudgetToppedUp;
 import org.bramleylatch.core.LedgerRecord.FrozenReleased;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
@@ -16,6 +17,7 @@
 import org.bramleylatch.core.LedgerRecord.MoveTakenBack;
 import org.bramleylatch.core.LedgerRecord.SnapshotPart;
 import org.bramleylatch.core.LedgerRecord.UsageReported;
+import org.bramleylatch.core.LedgerRecord.UsageSummed;
 
 /**
  * Folds records into a ledger. The verdict on a record depends on nothing but the records before
@@ -36,6 +38,8 @@
         this.rules =
                 Dispatch.<LedgerRecord, Optional<ResultCode>>empty()
                         .on(BudgetCreated.class, this::create)
+                        .on(BudgetFunded.class, this::fund)
+                        .on(UsageSummed.class, this::settleSum)
                         .on(BudgetToppedUp.class, this::topUp)
                         .on(GrantAsked.class, this::grant)
                         .on(UsageReported.class, this::settle)
@@ -121,6 +125,30 @@
         return ACCEPTED;
     }
 
+    private Optional<ResultCode> fund(BudgetFunded record) {
+        BudgetRow before =
+                ledger.budgets().findOrAdd(record.budget(), () -> BudgetRow.of(record.budget()));
+        long moreTokens = record.totalTokens() - before.paidTokens();
+        if (moreTokens <= 0) {
+            return Optional.of(ResultCode.TOP_UP_REPEATED);
+        }
+        ledger.budgets().put(record.budget(), before.paid(moreTokens));
+        serveWaitingHolders(record.budget());
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> settleSum(UsageSummed record) {
+        GrantKey key = GrantKey.of(record.budget(), record.holder());
+        Optional<GrantRow> grant =
+                ledger.grants().find(key).filter(row -> row.openTokens() >= record.tokens());
+        if (grant.isEmpty() || record.tokens() < 0) {
+            return Optional.of(ResultCode.USAGE_OVER_GRANT);
+        }
+        ledger.grants().put(key, grant.get().settled(record.tokens()));
+        ledger.budgets().update(record.budget(), row -> row.settled(record.tokens()));
+        return ACCEPTED;
+    }
+
     private Optional<ResultCode> grant(GrantAsked record) {
         Optional<BudgetRow> budget = ledger.budgets().find(record.budget());
         if (budget.isEmpty()) {
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -15,6 +15,18 @@
     /** Creates a budget for a workspace. */
     record BudgetCreated(BudgetId budget, String workspace) implements OfBudget {}
 
+    /**
+     * Raises what was paid into a budget to a total, and creates the budget if need be. A total
+     * that is not above what is known changes nothing, so any number of writers may tell it.
+     */
+    record BudgetFunded(BudgetId budget, long totalTokens) implements OfBudget {}
+
+    /**
+     * Bills usage in one sum. Its writer's sequence keeps it from being taken twice, which is
+     * enough where no other process can bill the same requests.
+     */
+    record UsageSummed(BudgetId budget, Incarnation holder, long tokens) implements OfBudget {}
+
     /** Adds paid tokens to a budget. The key makes a repeated top-up count once. */
     record BudgetToppedUp(BudgetId budget, RequestKey key, long tokens) implements OfBudget {}
 
--- a/core/src/main/java/org/bramleylatch/core/LogWriter.java
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -8,8 +8,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Queue;
+import org.bramleylatch.core.LedgerRecord.GrantAsked;
+import org.bramleylatch.core.LedgerRecord.GrantReturned;
+import org.bramleylatch.core.LedgerRecord.IntentDeclared;
 import org.bramleylatch.core.LedgerRecord.SnapshotPart;
 import org.bramleylatch.core.LedgerRecord.UsageReported;
+import org.bramleylatch.core.LedgerRecord.UsageSummed;
 
 /**
  * Brings a process's records to the log, one batch at a time. A batch whose answer is unknown is
@@ -22,7 +26,9 @@
     private final List<Numbered> inFlight = new ArrayList<>();
     private long lastSequence;
     private long appendedSequence;
+    private boolean urgent;
     private long nextSendMillis;
+    private long nextUrgentMillis;
     private long resendMillis;
 
     private LogWriter() {}
@@ -35,6 +41,7 @@
     /** Queues a record. */
     public void add(LedgerRecord record) {
         queue.add(record);
+        urgent = urgent || isUrgent(record);
     }
 
     /** Returns true if no record waits to be appended or read back. */
@@ -48,9 +55,11 @@
      * @param nowMillis the time of the tick, in milliseconds
      */
     public Optional<List<Numbered>> takeDue(long nowMillis, KeeperLimits limits) {
-        if (inFlight.isEmpty() && !queue.isEmpty() && nowMillis >= nextSendMillis) {
+        if (inFlight.isEmpty() && !queue.isEmpty() && nowMillis >= sendMillis()) {
             coalesce(takeQueued(limits.mostRecords())).forEach(this::number);
+            urgent = !queue.isEmpty() && urgent;
             nextSendMillis = nowMillis + limits.appendIntervalMillis();
+            nextUrgentMillis = nowMillis + limits.urgentIntervalMillis();
             return send(nowMillis, limits);
         }
         return isUnanswered() && nowMillis >= resendMillis
@@ -64,7 +73,7 @@
             return OptionalLong.of(resendMillis);
         }
         return inFlight.isEmpty() && !queue.isEmpty()
-                ? OptionalLong.of(nextSendMillis)
+                ? OptionalLong.of(sendMillis())
                 : OptionalLong.empty();
     }
 
@@ -95,6 +104,10 @@
         return Optional.of(List.copyOf(inFlight));
     }
 
+    private long sendMillis() {
+        return urgent ? nextUrgentMillis : nextSendMillis;
+    }
+
     private boolean isUnanswered() {
         return !inFlight.isEmpty()
                 && appendedSequence < inFlight.get(inFlight.size() - 1).sequence();
@@ -117,15 +130,27 @@
     }
 
     private static Object identity(LedgerRecord record) {
-        return record instanceof UsageReported usage
-                ? GrantKey.of(usage.budget(), usage.holder())
-                : new Object();
+        if (record instanceof UsageReported usage) {
+            return GrantKey.of(usage.budget(), usage.holder());
+        }
+        return record instanceof UsageSummed sum ? sum.budget() : new Object();
     }
 
     private static LedgerRecord join(LedgerRecord first, LedgerRecord second) {
-        UsageReported head = (UsageReported) first;
-        List<Usage> usages = new ArrayList<>(head.usages());
-        usages.addAll(((UsageReported) second).usages());
-        return new UsageReported(head.budget(), head.holder(), usages);
+        return first instanceof UsageSummed sum
+                ? new UsageSummed(
+                        sum.budget(), sum.holder(), sum.tokens() + ((UsageSummed) second).tokens())
+                : join((UsageReported) first, (UsageReported) second);
+    }
+
+    private static LedgerRecord join(UsageReported first, UsageReported second) {
+        List<Usage> usages = new ArrayList<>(first.usages());
+        usages.addAll(second.usages());
+        return new UsageReported(first.budget(), first.holder(), usages);
+    }
+
+    private static boolean isUrgent(LedgerRecord record) {
+        boolean awaited = record instanceof GrantAsked asked && asked.neededTokens() > 0;
+        return awaited || record instanceof GrantReturned || record instanceof IntentDeclared;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/Outcomes.java
+++ b/core/src/main/java/org/bramleylatch/core/Outcomes.java
@@ -27,16 +27,26 @@
         cancelAttempt(world, row);
         RunState ran = knownRun(code, row.ran());
         world.send(new RouterOutput.Refuse(row.spec().id(), code, ran, detail));
-        world.note(EventKind.REQUEST_REFUSED, row.spec().key(), code + " " + ran + " " + detail);
+        world.note(
+                EventKind.REQUEST_REFUSED,
+                row.spec().key(),
+                code + " " + ran + " request=" + id(row) + " stage=" + row.stage() + " " + detail);
         endClaim(world, row);
         billDelivered(world, row);
         forget(world, row);
     }
 
     /** Ends a request whose caller hung up; what reached the caller is billed. */
+    private static RequestId id(RequestRow row) {
+        return row.spec().id();
+    }
+
     static void abandon(RouterWorld world, RequestRow row) {
         cancelAttempt(world, row);
-        world.note(EventKind.REQUEST_REFUSED, row.spec().key(), "caller gone");
+        world.note(
+                EventKind.REQUEST_REFUSED,
+                row.spec().key(),
+                "caller gone request=" + id(row) + " stage=" + row.stage());
         endClaim(world, row);
         billDelivered(world, row);
         forget(world, row);
@@ -58,6 +68,7 @@
         world.queued().remove(id);
         world.timers().clear(new RouterTimer.RequestDeadline(id));
         world.timers().clear(new RouterTimer.ReserveWait(id));
+        world.timers().clear(new RouterTimer.QueueWait(id));
     }
 
     /** Ends the request's running attempt at its endpoint. */
@@ -80,7 +91,8 @@
     }
 
     private static void billDelivered(RouterWorld world, RequestRow row) {
-        long tokens = row.position() == 0 ? 0 : row.spec().promptTokens() + row.position();
+        long tokens =
+                row.ran() == RunState.NOT_RUN ? 0 : row.spec().promptTokens() + row.position();
         if (tokens > 0 && row.grant().isPresent()) {
             Settlements.open(world, row, tokens, Optional.empty());
         } else {
@@ -100,7 +112,7 @@
     }
 
     private static void endClaim(RouterWorld world, RequestRow row) {
-        boolean claimed = !row.spec().route().repeatable() && hasClaim(row);
+        boolean claimed = row.spec().route().isClaimed() && hasClaim(row);
         Optional<Incarnation> keeper = world.keeperOf(row.spec().budget());
         if (claimed && row.ran() == RunState.NOT_RUN && keeper.isPresent()) {
             world.send(
--- a/core/src/main/java/org/bramleylatch/core/Placement.java
+++ b/core/src/main/java/org/bramleylatch/core/Placement.java
@@ -18,6 +18,11 @@
      */
     Optional<EndpointRow> choose(RequestSpec spec, Zone zone, List<EndpointRow> candidates);
 
+    /** Returns the choice by the work before the first token, with a home for shared parts. */
+    static Placement bySharedPrefix() {
+        return new PrefixPlacement();
+    }
+
     /** Returns the placement by zone, load and prefix affinity. */
     static Placement byAffinity() {
         return new AffinityPlacement();
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.core;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.bramleylatch.core.RequestRow.Stage;
@@ -14,6 +15,7 @@
             List.copyOf(world.queued()).stream()
                     .flatMap(id -> world.requests().find(id).stream())
                     .filter(row -> row.stage() == Stage.QUEUED)
+                    .sorted(Comparator.comparingInt(row -> row.spec().traits().priority()))
                     .forEach(row -> place(world, row, nowMillis));
         }
     }
--- a/core/src/main/java/org/bramleylatch/core/ReadBack.java
+++ b/core/src/main/java/org/bramleylatch/core/ReadBack.java
@@ -4,8 +4,10 @@
 import java.util.Optional;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
+import org.bramleylatch.core.LedgerRecord.HolderFrozen;
 import org.bramleylatch.core.LedgerRecord.IntentDeclared;
 import org.bramleylatch.core.LedgerRecord.UsageReported;
+import org.bramleylatch.core.LedgerRecord.UsageSummed;
 
 /** Folds entries and lets the keeper's own records take effect once they are read back. */
 final class ReadBack {
@@ -47,6 +49,8 @@
                 .on(GrantReturned.class, returned -> endReturn(world, returned))
                 .on(IntentDeclared.class, declared -> answerClaim(world, declared))
                 .on(UsageReported.class, reported -> dropRefused(world, reported))
+                .on(HolderFrozen.class, frozen -> world.freezing().remove(frozen.holder()))
+                .on(UsageSummed.class, summed -> endSum(world, summed))
                 .accept(numbered.record());
     }
 
@@ -54,6 +58,10 @@
         world.holdings().update(asked.budget(), row -> row.asking(false));
     }
 
+    private static void endSum(KeeperWorld world, UsageSummed summed) {
+        world.holdings().update(summed.budget(), row -> row.pending(-summed.tokens()));
+    }
+
     private static void endReturn(KeeperWorld world, GrantReturned returned) {
         world.holdings().update(returned.budget(), row -> row.returning(-returned.tokens()));
     }
--- a/core/src/main/java/org/bramleylatch/core/RequestRow.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestRow.java
@@ -110,9 +110,9 @@
      * Returns the request after its attempt failed, with what is known of the run. An answer that
      * has begun goes on at the same endpoint; otherwise that endpoint is not tried again.
      */
-    public RequestRow failedAt(EndpointId endpoint, RunState known) {
+    public RequestRow failedAt(EndpointId endpoint, RunState known, boolean counted) {
         Set<EndpointId> more = new HashSet<>(tried);
-        if (position == 0) {
+        if (position == 0 || spec.route().terms().resumeAnywhere()) {
             more.add(endpoint);
         }
         return new RequestRow(
@@ -121,7 +121,7 @@
                 keeper,
                 grant,
                 Optional.empty(),
-                attempts,
+                counted ? attempts : attempts - 1,
                 position,
                 known,
                 more,
--- a/core/src/main/java/org/bramleylatch/core/RequestSpec.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestSpec.java
@@ -13,6 +13,7 @@
  * @param mostTokens the longest answer; 0 for a service call
  * @param prefixHash a hash of the prompt's beginning, for cache affinity
  * @param deadlineMillis when the caller stops waiting
+ * @param traits what it brings along beyond that
  */
 public record RequestSpec(
         RequestId id,
@@ -23,7 +24,8 @@
         long promptTokens,
         long mostTokens,
         long prefixHash,
-        long deadlineMillis) {
+        long deadlineMillis,
+        RequestTraits traits) {
 
     /** Checks that every part is present. */
     public RequestSpec {
@@ -33,6 +35,40 @@
         requireNonNull(route, "route");
     }
 
+    /** Returns a request with the standard traits. */
+    public RequestSpec(
+            RequestId id,
+            RequestKey key,
+            boolean keyGiven,
+            BudgetId budget,
+            RouteRow route,
+            long promptTokens,
+            long mostTokens,
+            long prefixHash,
+            long deadlineMillis) {
+        this(
+                id,
+                key,
+                keyGiven,
+                budget,
+                route,
+                promptTokens,
+                mostTokens,
+                prefixHash,
+                deadlineMillis,
+                RequestTraits.standard());
+    }
+
+    /** Returns the back end that runs the request. */
+    public String backEnd() {
+        return route.backEndFor(key);
+    }
+
+    /** Returns the tokens that a budget must have for the request; 0 if none pays. */
+    public long billableTokens() {
+        return traits.metered() ? worstCaseTokens() : 0;
+    }
+
     /** Returns the most that the request can cost, in tokens. */
     public long worstCaseTokens() {
         return route.kind() == RouteKind.CHAT ? promptTokens + mostTokens : route.costTokens();
--- a/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** Sets tokens aside for requests that wait, as far as the own grants go. */
-final class ReservingSystem implements TickSystem<KeeperWorld> {
+record ReservingSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
     private static final Comparator<ReservationRow> BY_AGE =
             Comparator.<ReservationRow>comparingLong(row -> row.key().issuedMillis())
                     .thenComparing(row -> row.key().toString());
@@ -27,14 +27,18 @@
         world.note(EventKind.RESERVATION_REFUSED, row.key(), code + " budget=" + row.budget());
     }
 
-    private static void serve(KeeperWorld world, ReservationRow row) {
+    private void serve(KeeperWorld world, ReservationRow row) {
         if (world.availableTokens(row.budget()) >= row.tokens()) {
             grant(world, row);
-        } else if (reason(world, row) != ResultCode.BUDGET_UNAVAILABLE) {
+        } else if (isHopeless(world) || reason(world, row) != ResultCode.BUDGET_UNAVAILABLE) {
             refuse(world, row);
         }
     }
 
+    private boolean isHopeless(KeeperWorld world) {
+        return world.isLogLost() && !limits.waitsForLog();
+    }
+
     private static void grant(KeeperWorld world, ReservationRow row) {
         Reservations.hold(world, row);
         GrantKey grant = GrantKey.of(row.budget(), world.self());
--- a/core/src/main/java/org/bramleylatch/core/RetryRow.java
+++ b/core/src/main/java/org/bramleylatch/core/RetryRow.java
@@ -1,20 +1,19 @@
 package org.bramleylatch.core;
 
 /**
- * Is a route's allowance for retries: each request adds a part of one, each retry takes one.
+ * Is a back end's allowance for retries: each request adds a part of one, each retry takes one.
  *
  * @param permille the allowance, in thousandths of a retry
  */
 record RetryRow(long permille) {
     private static final long ONE_PERMILLE = 1_000;
-    private static final long MOST_PERMILLE = 20 * ONE_PERMILLE;
 
-    static RetryRow full() {
-        return new RetryRow(MOST_PERMILLE);
+    static RetryRow of(int retries) {
+        return new RetryRow(retries * ONE_PERMILLE);
     }
 
-    RetryRow earned(int morePermille) {
-        return new RetryRow(Math.min(MOST_PERMILLE, permille + morePermille));
+    RetryRow earned(int morePermille, int mostRetries) {
+        return new RetryRow(Math.min(mostRetries * ONE_PERMILLE, permille + morePermille));
     }
 
     RetryRow spent() {
--- a/core/src/main/java/org/bramleylatch/core/RouterInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInbox.java
@@ -2,10 +2,14 @@
 
 import org.bramleylatch.core.RouterInput.AnswerEnded;
 import org.bramleylatch.core.RouterInput.AttemptFailed;
+import org.bramleylatch.core.RouterInput.CallArrived;
 import org.bramleylatch.core.RouterInput.CallerGone;
 import org.bramleylatch.core.RouterInput.CallerPaused;
 import org.bramleylatch.core.RouterInput.ConfigurationSeen;
+import org.bramleylatch.core.RouterInput.EndpointAnnounced;
+import org.bramleylatch.core.RouterInput.EndpointReplaced;
 import org.bramleylatch.core.RouterInput.EndpointReported;
+import org.bramleylatch.core.RouterInput.EndpointWithdrawn;
 import org.bramleylatch.core.RouterInput.EndpointsListed;
 import org.bramleylatch.core.RouterInput.IntentLost;
 import org.bramleylatch.core.RouterInput.IntentRefused;
@@ -13,6 +17,7 @@
 import org.bramleylatch.core.RouterInput.KeeperDown;
 import org.bramleylatch.core.RouterInput.KeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
+import org.bramleylatch.core.RouterInput.RegistrySeen;
 import org.bramleylatch.core.RouterInput.RequestArrived;
 import org.bramleylatch.core.RouterInput.ReserveGranted;
 import org.bramleylatch.core.RouterInput.ReserveRefused;
@@ -34,7 +39,14 @@
         Admission admission = new Admission(world, limits, nowMillis);
         Answers answers = new Answers(world, limits, nowMillis);
         RouterView view = new RouterView(world, limits, nowMillis);
+        CallSystem calls = new CallSystem(world, admission);
+        RegistryView registry = new RegistryView(world, limits, nowMillis);
         Dispatch<RouterInput, Boolean> table = Dispatch.empty();
+        table.on(CallArrived.class, calls::resolve)
+                .on(EndpointAnnounced.class, registry::announce)
+                .on(EndpointWithdrawn.class, registry::withdraw)
+                .on(EndpointReplaced.class, replaced -> registry.remove(replaced.endpoint()))
+                .on(RegistrySeen.class, registry::see);
         table.on(RequestArrived.class, admission::admit)
                 .on(ReserveGranted.class, admission::reserved)
                 .on(ReserveRefused.class, admission::refused)
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -5,6 +5,21 @@
 /** Is a message into a router's world. */
 public sealed interface RouterInput {
 
+    /** A caller's request arrived whose route and payer are to be found. */
+    record CallArrived(Call call) implements RouterInput {}
+
+    /** The registry lists an endpoint, or lists it with other words than before. */
+    record EndpointAnnounced(EndpointRow endpoint) implements RouterInput {}
+
+    /** The registry lists an endpoint no longer. */
+    record EndpointWithdrawn(EndpointId endpoint) implements RouterInput {}
+
+    /** The registry of endpoints answered, or did not. */
+    record RegistrySeen(boolean reachable) implements RouterInput {}
+
+    /** Another endpoint answered at the address of this one. */
+    record EndpointReplaced(EndpointId endpoint) implements RouterInput {}
+
     /** A newer configuration is in force. */
     record ConfigurationSeen(Configuration configuration) implements RouterInput {}
 
@@ -63,8 +78,20 @@
     /** A service answered as a whole. */
     record ServiceAnswered(AttemptId attempt, int status, String body) implements RouterInput {}
 
-    /** An attempt failed; the run state tells what the edge knows of it. */
-    record AttemptFailed(AttemptId attempt, RunState ran, String detail) implements RouterInput {}
+    /**
+     * An attempt failed.
+     *
+     * @param ran what the edge knows of its run
+     * @param arrived false if no connection to the endpoint could be made
+     */
+    record AttemptFailed(AttemptId attempt, RunState ran, String detail, boolean arrived)
+            implements RouterInput {
+
+        /** Returns the failure of an attempt that may have reached its endpoint. */
+        public AttemptFailed(AttemptId attempt, RunState ran, String detail) {
+            this(attempt, ran, detail, true);
+        }
+    }
 
     /** The caller reads too slowly, or has caught up. */
     record CallerPaused(RequestId request, boolean paused) implements RouterInput {}
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -13,6 +13,8 @@
  * @param holdMillis how long the end of an answer may wait for a keeper to hold its usage
  * @param pausedMillis how long a paused attempt may keep its place at the endpoint
  * @param moveReportMillis how long to gather what was seen of moves before it is reported
+ * @param registrySettleMillis how long after its return the registry may still miss live endpoints
+ * @param retryBurst how many retries a back end may have ahead of what its requests earn
  * @param retryPermille how many retries a route may add to its requests, in thousandths
  */
 public record RouterLimits(
@@ -26,10 +28,72 @@
         long holdMillis,
         long pausedMillis,
         int retryPermille,
-        long moveReportMillis) {
+        long moveReportMillis,
+        int retryBurst,
+        long registrySettleMillis) {
 
     /** Returns the limits for the sizes of today. */
     public static RouterLimits standard() {
-        return new RouterLimits(24, 2_500, 500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250);
+        return new RouterLimits(
+                24, 2_500, 500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250, 20, 0);
+    }
+
+    /** Returns the limits with another allowance of retries for each back end. */
+    public RouterLimits withRetries(int burst, int permille) {
+        return new RouterLimits(
+                mostEndpoints,
+                mostOpen,
+                mostQueued,
+                mostAttempts,
+                reserveMillis,
+                firstTokenMillis,
+                stallMillis,
+                holdMillis,
+                pausedMillis,
+                permille,
+                moveReportMillis,
+                burst,
+                registrySettleMillis);
+    }
+
+    /**
+     * Returns the limits for a registry in which endpoints lapse while it is away.
+     *
+     * @param endpoints the most endpoints of one back end and version that a router uses
+     * @param settleMillis how long after its return it may still miss live endpoints
+     */
+    public RouterLimits withRegistry(int endpoints, long settleMillis) {
+        return new RouterLimits(
+                endpoints,
+                mostOpen,
+                mostQueued,
+                mostAttempts,
+                reserveMillis,
+                firstTokenMillis,
+                stallMillis,
+                holdMillis,
+                pausedMillis,
+                retryPermille,
+                moveReportMillis,
+                retryBurst,
+                settleMillis);
+    }
+
+    /** Returns the limits with another bound on the silence of an endpoint. */
+    public RouterLimits withSilence(long beforeFirstMillis, long betweenMillis) {
+        return new RouterLimits(
+                mostEndpoints,
+                mostOpen,
+                mostQueued,
+                mostAttempts,
+                reserveMillis,
+                beforeFirstMillis,
+                betweenMillis,
+                holdMillis,
+                pausedMillis,
+                retryPermille,
+                moveReportMillis,
+                retryBurst,
+                registrySettleMillis);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -12,6 +12,12 @@
     /** An attempt is due to be checked for silence. */
     record AttemptCheck(AttemptId attempt) implements RouterTimer {}
 
+    /** A request has waited long enough for an endpoint. */
+    record QueueWait(RequestId request) implements RouterTimer {}
+
+    /** An endpoint that the registry lists no longer is due to be taken as gone. */
+    record WithdrawalDue(EndpointId endpoint) implements RouterTimer {}
+
     /** What was seen of moves is due to be reported. */
     record MoveReport() implements RouterTimer {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimers.java
@@ -5,8 +5,10 @@
 import org.bramleylatch.core.RouterTimer.AttemptCheck;
 import org.bramleylatch.core.RouterTimer.HoldWait;
 import org.bramleylatch.core.RouterTimer.MoveReport;
+import org.bramleylatch.core.RouterTimer.QueueWait;
 import org.bramleylatch.core.RouterTimer.RequestDeadline;
 import org.bramleylatch.core.RouterTimer.ReserveWait;
+import org.bramleylatch.core.RouterTimer.WithdrawalDue;
 
 /** Acts on the deadlines that have passed. */
 record RouterTimers(RouterLimits limits) implements TickSystem<RouterWorld> {
@@ -20,6 +22,12 @@
                                 ReserveWait.class,
                                 due -> giveUpReserve(world, due.request(), nowMillis))
                         .on(AttemptCheck.class, due -> check(world, due, nowMillis))
+                        .on(QueueWait.class, due -> giveUpQueue(world, due.request()))
+                        .on(
+                                WithdrawalDue.class,
+                                due ->
+                                        new RegistryView(world, limits, nowMillis)
+                                                .remove(due.endpoint()))
                         .on(MoveReport.class, due -> true)
                         .on(HoldWait.class, due -> Settlements.held(world, due.key()));
         world.timers().takeDue(nowMillis).forEach(handlers::apply);
@@ -35,6 +43,16 @@
         return row.stage() == Stage.QUEUED ? ResultCode.OVERLOADED : ResultCode.DEADLINE_EXCEEDED;
     }
 
+    private static boolean giveUpQueue(RouterWorld world, RequestId id) {
+        Optional<RequestRow> row =
+                world.requests()
+                        .find(id)
+                        .filter(found -> found.stage() == Stage.QUEUED && found.position() == 0);
+        row.ifPresent(
+                found -> Outcomes.refuse(world, found, ResultCode.OVERLOADED, "queued too long"));
+        return row.isPresent();
+    }
+
     private boolean giveUpReserve(RouterWorld world, RequestId id, long nowMillis) {
         Optional<RequestRow> row =
                 world.requests().find(id).filter(found -> found.stage() == Stage.RESERVING);
@@ -64,13 +82,14 @@
     }
 
     private void check(RouterWorld world, AttemptRow row, long nowMillis) {
-        boolean begun = row.progressMillis() > row.startedMillis();
-        long silentMillis = begun ? limits.stallMillis() : limits.firstTokenMillis();
+        long silentMillis = silentMillis(row);
         long dueMillis = row.progressMillis() + silentMillis;
         if (row.paused()) {
             park(world, row);
         } else if (nowMillis < dueMillis) {
             world.timers().set(new AttemptCheck(row.id()), dueMillis);
+        } else if (isWaitedOut(world, row)) {
+            world.timers().set(new AttemptCheck(row.id()), nowMillis + silentMillis);
         } else {
             world.inbox()
                     .add(
@@ -78,4 +97,16 @@
                                     row.id(), RunState.UNKNOWN, "silent endpoint"));
         }
     }
+
+    private long silentMillis(AttemptRow row) {
+        boolean begun = row.progressMillis() > row.startedMillis();
+        return begun ? limits.stallMillis() : limits.firstTokenMillis();
+    }
+
+    private boolean isWaitedOut(RouterWorld world, AttemptRow row) {
+        Optional<RequestRow> request = world.requests().find(row.request());
+        return request.filter(found -> found.spec().route().terms().waitsOutSilence())
+                .filter(found -> !Retries.allows(world, limits, found, true))
+                .isPresent();
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterView.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterView.java
@@ -99,7 +99,7 @@
         }
     }
 
-    private void merge(EndpointRow listing) {
+    void merge(EndpointRow listing) {
         EndpointRow merged =
                 world.endpoints()
                         .find(listing.id())
@@ -108,7 +108,7 @@
         world.endpoints().put(listing.id(), merged);
     }
 
-    private void unlist(EndpointRow row) {
+    void unlist(EndpointRow row) {
         if (row.load().outstanding() > 0) {
             world.endpoints().put(row.id(), row.leaving(row.leaving().listed(true)));
         } else {
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -18,7 +18,7 @@
     private final Table<AttemptId, AttemptRow> attempts = Table.empty();
     private final Table<EndpointId, EndpointRow> endpoints = Table.empty();
     private final Table<RequestKey, SettlementRow> settlements = Table.empty();
-    private final Table<RouteName, RetryRow> retries = Table.empty();
+    private final Table<String, RetryRow> retries = Table.empty();
     private final Table<RouteName, MoveWatch> moves = Table.empty();
     private final Set<RequestId> queued = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
@@ -29,6 +29,8 @@
     private Configuration configuration = Configuration.empty();
     private boolean stopping;
     private long nextMoveReportMillis;
+    private boolean registryReachable;
+    private long registryBackMillis;
 
     private RouterWorld(Incarnation self, Zone zone, Supplier<AttemptId> attemptIds) {
         this.self = self;
@@ -119,7 +121,7 @@
         return requestsByKey;
     }
 
-    Table<RouteName, RetryRow> retries() {
+    Table<String, RetryRow> retries() {
         return retries;
     }
 
@@ -147,6 +149,22 @@
         nextMoveReportMillis = millis;
     }
 
+    boolean isRegistryReachable() {
+        return registryReachable;
+    }
+
+    void setRegistryReachable(boolean reachable) {
+        registryReachable = reachable;
+    }
+
+    long registryBackMillis() {
+        return registryBackMillis;
+    }
+
+    void setRegistryBackMillis(long millis) {
+        registryBackMillis = millis;
+    }
+
     void setStopping() {
         stopping = true;
     }
@@ -158,7 +176,7 @@
 
     /** Returns the endpoints that may serve the request now, in order of their ids. */
     List<EndpointRow> candidates(RequestRow row, long nowMillis) {
-        if (row.position() > 0) {
+        if (row.position() > 0 && !row.spec().route().terms().resumeAnywhere()) {
             return row.origin().flatMap(endpoints::find).stream().toList();
         }
         return open(row, version(row), nowMillis);
@@ -177,7 +195,7 @@
                 new ArrayList<>(
                         endpoints.where(
                                 endpoint ->
-                                        endpoint.backEnd().equals(row.spec().route().backEnd())
+                                        endpoint.backEnd().equals(row.spec().backEnd())
                                                 && endpoint.isOpen(nowMillis)
                                                 && !row.tried().contains(endpoint.id())
                                                 && version.filter(
--- a/core/src/main/java/org/bramleylatch/core/Settlements.java
+++ b/core/src/main/java/org/bramleylatch/core/Settlements.java
@@ -38,7 +38,7 @@
         return world.settlements().remove(key).isPresent();
     }
 
-    private static void finish(RouterWorld world, RequestRow request) {
+    static void finish(RouterWorld world, RequestRow request) {
         RequestSpec spec = request.spec();
         world.timers().clear(new RouterTimer.HoldWait(spec.key()));
         if (spec.route().kind() == RouteKind.CHAT) {
--- a/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.ext.web.client.WebClient;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.LedgerCursor;
@@ -22,8 +23,9 @@
 public final class AccountStream {
     private static final Logger LOG = LoggerFactory.getLogger(AccountStream.class);
     private static final long PEER_TIMEOUT_MILLIS = 2_000;
+    private static final int MOST_RECORDS = 5_000;
 
-    private final PlatformClient platform;
+    private final LogService platform;
     private final Incarnation self;
     private final Consumer<LedgerFeed> world;
     private final LedgerCursor cursor = LedgerCursor.atStart();
@@ -31,7 +33,7 @@
     private boolean askedPeers;
 
     /** Makes a reader; nothing is read yet. */
-    public AccountStream(PlatformClient platform, Incarnation self, Consumer<LedgerFeed> world) {
+    public AccountStream(LogService platform, Incarnation self, Consumer<LedgerFeed> world) {
         this.platform = platform;
         this.self = self;
         this.world = world;
@@ -49,8 +51,20 @@
      */
     public Cancellable follow(Vertx vertx, List<Address> peers) {
         WebClient client = WebClient.create(vertx);
-        return new LogFollower(platform, LogStreams.ACCOUNTS)
-                .follow(cursor::readOffset, this::take, code -> failed(code, client, peers));
+        return follow(Pace.standard(), code -> failed(code, client, peers));
+    }
+
+    /** Reads without end at the given pace; there are no peers to ask. */
+    public Cancellable follow(Pace pace) {
+        return follow(pace, this::failed);
+    }
+
+    private Cancellable follow(Pace pace, Consumer<ResultCode> failures) {
+        return new LogFollower<LogPage>(this::read, pace).follow(this::take, failures);
+    }
+
+    private CompletableFuture<LogPage> read(long waitMillis) {
+        return platform.read(LogStreams.ACCOUNTS, cursor.readOffset(), MOST_RECORDS, waitMillis);
     }
 
     /** Appends a batch; a batch whose answer is lost is sent again by the world. */
@@ -69,12 +83,18 @@
     }
 
     private void failed(ResultCode code, WebClient client, List<Address> peers) {
+        failed(code);
+        if (code != ResultCode.LOG_POSITION_EXPIRED) {
+            askPeers(client, peers);
+        }
+    }
+
+    private void failed(ResultCode code) {
         if (code == ResultCode.LOG_POSITION_EXPIRED) {
             cursor.expired();
         } else {
             world.accept(new LedgerFeed.LogSeen(false));
             warnAtStart();
-            askPeers(client, peers);
         }
     }
 
--- a/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
@@ -4,6 +4,7 @@
 
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.bramleylatch.core.Configuration;
 import org.bramleylatch.core.ResultCode;
@@ -11,6 +12,8 @@
 
 /** Reads the configuration stream and tells of each newer configuration and each verdict. */
 public final class ConfigStream {
+    private static final int MOST_RECORDS = 5_000;
+
     private final PlatformClient platform;
     private final ConfigReader reader = ConfigReader.atStart();
 
@@ -32,8 +35,13 @@
      */
     public Cancellable follow(
             Consumer<Configuration> newer, Consumer<ConfigReader.Judged> verdicts) {
-        return new LogFollower(platform, LogStreams.CONFIGURATION)
-                .follow(reader::readOffset, page -> take(page, newer, verdicts), this::failed);
+        return new LogFollower<LogPage>(this::read, Pace.standard())
+                .follow(page -> take(page, newer, verdicts), this::failed);
+    }
+
+    private CompletableFuture<LogPage> read(long waitMillis) {
+        return platform.read(
+                LogStreams.CONFIGURATION, reader.readOffset(), MOST_RECORDS, waitMillis);
     }
 
     private void failed(ResultCode code) {
--- a/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
@@ -6,59 +6,59 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.LongFunction;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
 
 /**
- * Reads a stream of the log without end. A failed read is repeated with growing pauses; a position
- * that the platform no longer keeps is told apart, so that the reader reloads and skips nothing.
+ * Reads a stream of the platform without end. A failed read is repeated with growing pauses; a
+ * position that the platform no longer keeps is told apart, so that the reader reloads and skips
+ * nothing.
+ *
+ * @param <P> what one read returns
  */
-public final class LogFollower {
-    private static final int MOST_RECORDS = 5_000;
-    private static final long WAIT_MILLIS = 10_000;
+public final class LogFollower<P> {
     private static final Duration FIRST_PAUSE = Duration.ofMillis(50);
-    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
 
-    private final PlatformClient platform;
-    private final String stream;
+    private final LongFunction<CompletableFuture<P>> reads;
+    private final Pace pace;
     private long waitMillis;
 
-    /** Makes a follower; nothing is read yet. */
-    public LogFollower(PlatformClient platform, String stream) {
-        this.platform = requireNonNull(platform);
-        this.stream = requireNonNull(stream);
+    /**
+     * Makes a follower; nothing is read yet.
+     *
+     * @param reads reads the next page, waiting so many milliseconds for news
+     * @param pace how often to read
+     */
+    public LogFollower(LongFunction<CompletableFuture<P>> reads, Pace pace) {
+        this.reads = requireNonNull(reads);
+        this.pace = requireNonNull(pace);
     }
 
     /**
      * Reads on and on.
      *
-     * @param nextOffset tells where the next read begins
      * @param pages takes what was read; called before the next read begins
      * @param failures takes the code of each failed read
      * @return stops the reading
      */
-    public Cancellable follow(
-            LongSupplier nextOffset, Consumer<LogPage> pages, Consumer<ResultCode> failures) {
-        Uni<LogPage> read =
+    public Cancellable follow(Consumer<P> pages, Consumer<ResultCode> failures) {
+        Uni<P> read =
                 Uni.createFrom()
-                        .completionStage(
-                                () ->
-                                        platform.read(
-                                                stream,
-                                                nextOffset.getAsLong(),
-                                                MOST_RECORDS,
-                                                waitMillis))
+                        .completionStage(() -> reads.apply(waitMillis))
                         .onItem()
-                        .invoke(page -> waitMillis = WAIT_MILLIS)
+                        .invoke(page -> waitMillis = pace.waitMillis())
                         .onItem()
                         .invoke(pages)
+                        .onItem()
+                        .call(page -> pause())
                         .onFailure()
                         .invoke(failure -> fail(failure, failures))
                         .onFailure()
                         .retry()
-                        .withBackOff(FIRST_PAUSE, LONGEST_PAUSE)
+                        .withBackOff(FIRST_PAUSE, pace.longestPause())
                         .indefinitely();
         return Multi.createBy()
                 .repeating()
@@ -68,6 +68,12 @@
                 .with(p -> {});
     }
 
+    private Uni<Void> pause() {
+        long millis = pace.pauseMillis().getAsLong();
+        Uni<Void> nothing = Uni.createFrom().voidItem();
+        return millis == 0 ? nothing : nothing.onItem().delayIt().by(Duration.ofMillis(millis));
+    }
+
     /** Lets the next read answer at once, so that the reader soon knows that the log is back. */
     private void fail(Throwable failure, Consumer<ResultCode> failures) {
         waitMillis = 0;
--- a/edge/src/main/java/org/bramleylatch/edge/PlatformClient.java
+++ b/edge/src/main/java/org/bramleylatch/edge/PlatformClient.java
@@ -15,7 +15,7 @@
 import org.bramleylatch.wire.Json;
 
 /** Speaks to the platform: its append-only log and its list of VMs. */
-public final class PlatformClient {
+public final class PlatformClient implements LogService {
     private static final long APPEND_TIMEOUT_MILLIS = 2_000;
     private static final long READ_MARGIN_MILLIS = 2_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -43,6 +43,7 @@
      *
      * @return the offset of the first record; fails with LOG_UNAVAILABLE if the answer is unknown
      */
+    @Override
     public CompletableFuture<Long> append(String stream, List<String> records) {
         return client.post(address.port(), address.ip(), "/log/" + stream)
                 .timeout(APPEND_TIMEOUT_MILLIS)
@@ -58,6 +59,7 @@
      *
      * @return the page; fails with LOG_POSITION_EXPIRED if the platform no longer keeps the offset
      */
+    @Override
     public CompletableFuture<LogPage> read(String stream, long from, int most, long waitMillis) {
         String path =
                 "/log/" + stream + "?from=" + from + "&most=" + most + "&waitMillis=" + waitMillis;
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -0,0 +1,129 @@
+package org.bramleylatch.gateway;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.RunState;
+import org.bramleylatch.edge.Problem;
+import org.bramleylatch.platform.CallHead;
+import org.bramleylatch.platform.EndpointAnswerHead;
+import org.bramleylatch.wire.Json;
+
+/** Is a caller's request that waits for its answer, with what has been sent of the answer. */
+final class CallerExchange {
+    private static final int WRITE_QUEUE_BYTES = 16 * 1024;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int BAD_GATEWAY = 502;
+    private static final String RETRY_AFTER_SECONDS = "0.3";
+
+    private final HttpServerRequest request;
+    private final CallHead head;
+    private final Buffer body;
+    private final long arrivedMillis;
+    private Optional<EndpointAnswerHead> answer = Optional.empty();
+    private OptionalLong lastEvent = OptionalLong.empty();
+    private boolean begun;
+
+    CallerExchange(HttpServerRequest request, CallHead head, Buffer body, long arrivedMillis) {
+        this.request = request;
+        this.head = head;
+        this.body = body;
+        this.arrivedMillis = arrivedMillis;
+    }
+
+    HttpServerRequest request() {
+        return request;
+    }
+
+    CallHead head() {
+        return head;
+    }
+
+    Buffer body() {
+        return body;
+    }
+
+    long arrivedMillis() {
+        return arrivedMillis;
+    }
+
+    /** Returns true once a part of the answer was sent. */
+    boolean isBegun() {
+        return begun;
+    }
+
+    /** Returns the id of the last event that was sent. */
+    OptionalLong lastEvent() {
+        return lastEvent;
+    }
+
+    /** Notes the head of the answer that is on its way; one that has begun keeps its head. */
+    void answerWith(EndpointAnswerHead newAnswer) {
+        if (!begun) {
+            answer = Optional.of(newAnswer);
+        }
+    }
+
+    /** Sends an event. */
+    void event(String text) {
+        begin();
+        StreamEvent.of(text).id().ifPresent(id -> lastEvent = OptionalLong.of(id));
+        response().write(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    /** Ends a stream as complete. */
+    void finish(boolean close) {
+        begin();
+        end(Buffer.buffer(), close);
+    }
+
+    /** Sends an answer that is whole. */
+    void whole(int status, String text, boolean close) {
+        response().setStatusCode(status);
+        answer.ifPresent(from -> from.passOn(response().headers()));
+        end(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)), close);
+    }
+
+    /** Refuses the request, or breaks off an answer that has begun so that it looks incomplete. */
+    void refuse(ResultCode code, RunState ran, String detail, boolean close) {
+        if (begun) {
+            request.connection().close();
+            return;
+        }
+        int status = status(code, ran);
+        if (status == UNAVAILABLE) {
+            response().putHeader("retry-after", RETRY_AFTER_SECONDS);
+        }
+        response().setStatusCode(status).putHeader("content-type", "application/problem+json");
+        end(Buffer.buffer(Json.write(Problem.of(code, ran, detail))), close);
+    }
+
+    private static int status(ResultCode code, RunState ran) {
+        boolean promises = code.httpStatus() == UNAVAILABLE;
+        return promises && ran != RunState.NOT_RUN ? BAD_GATEWAY : code.httpStatus();
+    }
+
+    private void begin() {
+        if (!begun) {
+            begun = true;
+            response().setStatusCode(OK).setChunked(true).setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
+            answer.ifPresent(from -> from.passOn(response().headers()));
+        }
+    }
+
+    private void end(Buffer last, boolean close) {
+        if (close) {
+            response().putHeader("connection", "close");
+        }
+        response().end(last);
+    }
+
+    private HttpServerResponse response() {
+        return request.response();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointSide.java
@@ -0,0 +1,148 @@
+package org.bramleylatch.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.ToIntFunction;
+import org.bramleylatch.core.AttemptId;
+import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.RequestId;
+import org.bramleylatch.core.RequestSpec;
+import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.core.RouterOutput;
+import org.bramleylatch.core.RunState;
+import org.bramleylatch.platform.EndpointCallHead;
+import org.bramleylatch.platform.EndpointEntry;
+
+/** Carries attempts to endpoints. */
+final class EndpointSide {
+    /** Many round trips between zones; a lost packet is sent again only after this. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
+    private static final int MOST_CONNECTIONS = 128;
+    private static final int KEEP_ALIVE_SECONDS = 5;
+    private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
+
+    private final InstantSource clock;
+    private final Function<EndpointId, Optional<EndpointEntry>> registry;
+    private final Function<RequestId, Optional<CallerExchange>> callers;
+    private final Function<RequestId, Optional<RequestSpec>> specs;
+    private final ToIntFunction<String> tokensPerEvent;
+    private final Consumer<RouterInput> inbox;
+    private final HttpClient kept;
+    private final HttpClient fresh;
+    private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
+
+    /**
+     * Makes the side; no connection is made yet.
+     *
+     * @param tokensPerEvent tells how many tokens an event of a back end's streams holds
+     */
+    EndpointSide(
+            Vertx vertx,
+            InstantSource clock,
+            Function<EndpointId, Optional<EndpointEntry>> registry,
+            Function<RequestId, Optional<CallerExchange>> callers,
+            Function<RequestId, Optional<RequestSpec>> specs,
+            ToIntFunction<String> tokensPerEvent,
+            Consumer<RouterInput> inbox) {
+        this.clock = clock;
+        this.registry = registry;
+        this.callers = callers;
+        this.specs = specs;
+        this.tokensPerEvent = tokensPerEvent;
+        this.inbox = inbox;
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS);
+        this.kept =
+                vertx.createHttpClient(
+                        options().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS), pool);
+        this.fresh = vertx.createHttpClient(options().setKeepAlive(false), pool);
+    }
+
+    /** Sends an attempt. */
+    void start(RouterOutput.StartAttempt start) {
+        Optional<CallerExchange> exchange = callers.apply(start.request());
+        Optional<RequestSpec> spec = specs.apply(start.request());
+        Optional<EndpointEntry> entry = registry.apply(start.endpoint());
+        if (exchange.isEmpty() || spec.isEmpty() || entry.isEmpty()) {
+            inbox.accept(
+                    new RouterInput.AttemptFailed(
+                            start.attempt(), RunState.NOT_RUN, "no address or caller", false));
+            return;
+        }
+        EndpointCall call =
+                new EndpointCall(
+                        start.attempt(),
+                        start.endpoint(),
+                        exchange.get(),
+                        start.position(),
+                        tokensPerEvent.applyAsInt(spec.get().backEnd()),
+                        message -> take(start.attempt(), message));
+        calls.put(start.attempt(), call);
+        client(spec.get())
+                .request(options(exchange.get(), spec.get(), entry.get()))
+                .onSuccess(call::send)
+                .onFailure(call::unreachable);
+    }
+
+    /** Gives up an attempt. */
+    void cancel(RouterOutput.CancelAttempt cancel) {
+        Optional.ofNullable(calls.remove(cancel.attempt())).ifPresent(EndpointCall::cancel);
+    }
+
+    /** Stops or goes on reading an answer. */
+    void pause(RouterOutput.PauseAttempt pause) {
+        Optional.ofNullable(calls.get(pause.attempt()))
+                .ifPresent(call -> call.pause(pause.paused()));
+    }
+
+    /** A connection that was kept may be dead unseen, so what may run once gets a new one. */
+    private HttpClient client(RequestSpec spec) {
+        return spec.route().repeatable() ? kept : fresh;
+    }
+
+    private void take(AttemptId attempt, RouterInput message) {
+        boolean ends =
+                message instanceof RouterInput.AnswerEnded
+                        || message instanceof RouterInput.ServiceAnswered;
+        if (ends) {
+            calls.remove(attempt);
+        }
+        inbox.accept(message);
+    }
+
+    private RequestOptions options(CallerExchange exchange, RequestSpec spec, EndpointEntry entry) {
+        RequestOptions options =
+                new RequestOptions()
+                        .setHost(entry.address().ip())
+                        .setPort(entry.address().port())
+                        .setMethod(exchange.request().method())
+                        .setURI(exchange.request().uri());
+        EndpointCallHead head =
+                new EndpointCallHead(
+                        entry.instance(),
+                        spec.deadlineMillis() - clock.millis(),
+                        Optional.of(spec.budget().value()).filter(name -> !name.isEmpty()),
+                        spec.traits().priority(),
+                        exchange.lastEvent().isPresent()
+                                ? Optional.of(Long.toString(exchange.lastEvent().getAsLong()))
+                                : Optional.empty());
+        head.write(exchange.request().headers(), options);
+        return options;
+    }
+
+    private static HttpClientOptions options() {
+        return new HttpClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                .setReceiveBufferSize(RECEIVE_BUFFER_BYTES)
+                .setTcpNoDelay(true);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -0,0 +1,278 @@
+package org.bramleylatch.gateway;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.smallrye.mutiny.infrastructure.Infrastructure;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.ext.web.Router;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import org.bramleylatch.core.Actions;
+import org.bramleylatch.core.AttemptId;
+import org.bramleylatch.core.Dispatch;
+import org.bramleylatch.core.Event;
+import org.bramleylatch.core.EventKind;
+import org.bramleylatch.core.GrantPolicy;
+import org.bramleylatch.core.Incarnation;
+import org.bramleylatch.core.KeeperInput;
+import org.bramleylatch.core.KeeperLimits;
+import org.bramleylatch.core.KeeperOutput;
+import org.bramleylatch.core.KeeperSystems;
+import org.bramleylatch.core.KeeperWorld;
+import org.bramleylatch.core.Placement;
+import org.bramleylatch.core.RequestRow;
+import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.core.RouterLimits;
+import org.bramleylatch.core.RouterOutput;
+import org.bramleylatch.core.RouterSystems;
+import org.bramleylatch.core.RouterWorld;
+import org.bramleylatch.edge.AccountStream;
+import org.bramleylatch.edge.Incarnations;
+import org.bramleylatch.edge.KeeperReplies;
+import org.bramleylatch.edge.LogFollower;
+import org.bramleylatch.edge.Ops;
+import org.bramleylatch.edge.Pace;
+import org.bramleylatch.edge.Servers;
+import org.bramleylatch.edge.TickLoop;
+import org.bramleylatch.platform.BootFile;
+import org.bramleylatch.platform.Bounds;
+import org.bramleylatch.platform.KeyedPage;
+import org.bramleylatch.platform.KeyedStream;
+import org.bramleylatch.platform.StoreClient;
+
+/** Runs a router and a keeper over the users' platform; both on one event loop. */
+public final class GatewayDaemon {
+    /** Entries of live endpoints are back within 2 s of the store's return. */
+    private static final long REGISTRY_SETTLE_MILLIS = 2_300;
+
+    /** Every endpoint is used, so that each shared part of a prompt has one home in the fleet. */
+    private static final int MOST_ENDPOINTS = 10_000;
+
+    /** Twice the target of the shortest answers; a stream's caller leaves after 2 s. */
+    private static final long FIRST_ANSWER_MILLIS = 900;
+
+    private static final long STALL_MILLIS = 1_000;
+
+    /** Leaves half of the fleet's allowance for routers that count late. */
+    private static final int RETRY_MARGIN = 2;
+
+    /** The balancer asks every second and takes a router out after two misses. */
+    private static final long BALANCER_MILLIS = 2_500;
+
+    /** What is left of the grace for the last appends. */
+    private static final long LAST_APPENDS_MILLIS = 700;
+
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(400);
+
+    private final Vertx vertx;
+    private final Context context;
+    private final BootFile boot;
+    private final GatewaySettings settings;
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+    private final PrometheusRegistry metricsRegistry = new PrometheusRegistry();
+    private final Incarnation keeper;
+    private final Incarnation router;
+    private final Dispatch<KeeperOutput, RouterInput> replies;
+    private final TickLoop<RouterInput, RouterOutput, RouterWorld> routerLoop;
+    private final TickLoop<KeeperInput, KeeperOutput, KeeperWorld> keeperLoop;
+    private final CallerSide callers;
+    private final EndpointSide endpoints;
+    private final Registry registry;
+    private final OperatorFeed operator;
+    private final StoreClient store;
+    private final AccountStream accounts;
+    private final Actions<RouterOutput> routerCarriers;
+    private final Actions<KeeperOutput> keeperCarriers;
+    private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
+    private final CompletableFuture<Void> keeperStopped = new CompletableFuture<>();
+    private boolean draining;
+
+    private GatewayDaemon(
+            Vertx vertx, InstantSource clock, BootFile boot, GatewaySettings settings) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.boot = boot;
+        this.settings = settings;
+        this.log = new EventLog(clock, boot.vm(), settings.logLinesPerSecond());
+        this.metrics = new GatewayMetrics(metricsRegistry);
+        this.keeper = Incarnations.fresh("keeper", boot.vm());
+        this.router = Incarnations.fresh("router", boot.vm());
+        this.replies = KeeperReplies.of(keeper);
+        RouterWorld routerWorld =
+                RouterWorld.of(router, boot.zone(), () -> AttemptId.of(Incarnations.token()));
+        this.routerLoop =
+                new TickLoop<>(
+                        vertx,
+                        context,
+                        clock,
+                        routerWorld,
+                        RouterSystems.schedule(
+                                Placement.bySharedPrefix(), limits(boot.bounds(), settings)),
+                        this::carry);
+        this.keeperLoop =
+                new TickLoop<>(
+                        vertx,
+                        context,
+                        clock,
+                        KeeperWorld.of(keeper),
+                        KeeperSystems.schedule(
+                                GrantPolicy.bySeconds(
+                                        settings.grantHorizonMillis(),
+                                        settings.smallestGrantTokens()),
+                                KeeperLimits.besideRouter(boot.keepMillis())),
+                        this::carry);
+        this.store = new StoreClient(vertx, boot.store(), clock);
+        this.operator = new OperatorFeed(routerLoop::offer, keeperLoop::offer);
+        this.registry = new Registry(name -> operator.latest().backEnd(name), routerLoop::offer);
+        this.operator.onChange(registry::announceAll);
+        this.callers =
+                new CallerSide(
+                        clock,
+                        routerLoop::offer,
+                        metrics,
+                        () -> operator.latest().mostBodyBytes(),
+                        () -> draining);
+        this.endpoints =
+                new EndpointSide(
+                        vertx,
+                        clock,
+                        registry::find,
+                        callers::exchange,
+                        id -> routerWorld.requests().find(id).map(RequestRow::spec),
+                        name -> operator.latest().backEnd(name).tokensPerEvent(),
+                        routerLoop::offer);
+        this.accounts =
+                new AccountStream(
+                        store, keeper, feed -> keeperLoop.offer(new KeeperInput.FromLog(feed)));
+        this.routerCarriers = routerCarriers();
+        this.keeperCarriers = keeperCarriers();
+    }
+
+    /** Starts the daemon. */
+    public static CompletableFuture<GatewayDaemon> start(
+            InstantSource clock, BootFile boot, GatewaySettings settings) {
+        Vertx vertx =
+                Vertx.vertx(
+                        new VertxOptions()
+                                .setEventLoopPoolSize(1)
+                                .setWorkerPoolSize(1)
+                                .setInternalBlockingPoolSize(1));
+        GatewayDaemon daemon = new GatewayDaemon(vertx, clock, boot, settings);
+        CompletableFuture<GatewayDaemon> started = new CompletableFuture<>();
+        daemon.context.runOnContext(ignored -> daemon.begin(started));
+        return started;
+    }
+
+    /** Finishes what callers wait for, settles and gives grants back. */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        context.runOnContext(ignored -> drain(stopped));
+        return stopped;
+    }
+
+    /** Notes that the platform changed the boot file; what it says of this VM does not change. */
+    public void reload() {
+        note(Event.of(EventKind.SETTINGS_RELOADED, router, "boot file read again"));
+    }
+
+    private static RouterLimits limits(Bounds bounds, GatewaySettings settings) {
+        int burst = bounds.retryExtra() / RETRY_MARGIN / settings.routersExpected();
+        return RouterLimits.standard()
+                .withRetries(Math.max(1, burst), bounds.retryPermille() / RETRY_MARGIN)
+                .withRegistry(MOST_ENDPOINTS, REGISTRY_SETTLE_MILLIS)
+                .withSilence(FIRST_ANSWER_MILLIS, STALL_MILLIS);
+    }
+
+    private void begin(CompletableFuture<GatewayDaemon> started) {
+        Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
+        note(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
+        routerLoop.offer(new RouterInput.KeeperUp(keeper));
+        keeperLoop.offer(new KeeperInput.RouterSeen(router));
+        follow();
+        Router ops = Router.router(vertx);
+        Ops.mount(ops, metricsRegistry, this::isReady);
+        Router ready = Router.router(vertx);
+        ready.get("/ready")
+                .handler(call -> call.response().setStatusCode(isReady() ? 200 : 503).end());
+        Servers.listen(vertx, boot.callers(), callers::handle)
+                .thenCompose(server -> Servers.listen(vertx, boot.readiness(), ready))
+                .thenCompose(server -> Servers.listen(vertx, boot.metrics(), ops))
+                .whenComplete((server, failure) -> started(started, failure));
+    }
+
+    private void started(CompletableFuture<GatewayDaemon> started, Throwable failure) {
+        if (failure == null) {
+            started.complete(this);
+        } else {
+            started.completeExceptionally(failure);
+        }
+    }
+
+    private void follow() {
+        Pace changes = new Pace(settings.storeWaitMillis(), () -> 0, LONGEST_PAUSE);
+        Pace ledger =
+                new Pace(settings.storeWaitMillis(), settings::ledgerPauseMillis, LONGEST_PAUSE);
+        KeyedStream operatorStream = KeyedStream.operator(store);
+        KeyedStream endpointStream = KeyedStream.endpoints(store);
+        new LogFollower<KeyedPage>(operatorStream::read, changes)
+                .follow(operator::take, code -> operator.away(code));
+        new LogFollower<KeyedPage>(endpointStream::read, changes)
+                .follow(registry::take, code -> registry.away());
+        accounts.follow(ledger);
+    }
+
+    private boolean isReady() {
+        return !draining && routerLoop.world().configuration().isKnown() && accounts.isCaughtUp();
+    }
+
+    private void drain(CompletableFuture<Void> stopped) {
+        draining = true;
+        note(Event.of(EventKind.PROCESS_STOPPED, router, "stop asked for, no longer ready"));
+        vertx.setTimer(BALANCER_MILLIS, ignored -> routerLoop.offer(new RouterInput.StopAsked()));
+        long lastMillis = boot.bounds().graceMillis() - LAST_APPENDS_MILLIS;
+        vertx.setTimer(lastMillis, ignored -> routerStopped.complete(null));
+        vertx.setTimer(
+                boot.bounds().graceMillis() - LAST_APPENDS_MILLIS / 2,
+                ignored -> keeperStopped.complete(null));
+        routerStopped.thenRun(() -> keeperLoop.offer(new KeeperInput.StopAsked()));
+        keeperStopped.thenRun(() -> stopped.complete(null));
+    }
+
+    private void carry(RouterOutput output) {
+        routerCarriers.accept(output);
+    }
+
+    private void carry(KeeperOutput output) {
+        if (output instanceof KeeperOutput.ToRouter) {
+            routerLoop.offer(replies.apply(output));
+        } else {
+            keeperCarriers.accept(output);
+        }
+    }
+
+    private Actions<RouterOutput> routerCarriers() {
+        return Actions.<RouterOutput>empty()
+                .on(RouterOutput.ToKeeper.class, to -> keeperLoop.offer(to.message()))
+                .on(RouterOutput.StartAttempt.class, endpoints::start)
+                .on(RouterOutput.CancelAttempt.class, endpoints::cancel)
+                .on(RouterOutput.PauseAttempt.class, endpoints::pause)
+                .on(RouterOutput.Note.class, note -> note(note.event()))
+                .on(RouterOutput.Stopped.class, done -> routerStopped.complete(null))
+                .otherwise(callers::carry);
+    }
+
+    private Actions<KeeperOutput> keeperCarriers() {
+        return Actions.<KeeperOutput>empty()
+                .on(KeeperOutput.AppendBatch.class, batch -> accounts.append(batch.records()))
+                .on(KeeperOutput.Note.class, note -> note(note.event()))
+                .on(KeeperOutput.Stopped.class, done -> keeperStopped.complete(null));
+    }
+
+    private void note(Event event) {
+        metrics.count(event.kind());
+        log.write(event);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -0,0 +1,71 @@
+package org.bramleylatch.gateway;
+
+import java.util.concurrent.CompletionException;
+import org.bramleylatch.core.ResultException;
+import org.bramleylatch.edge.Build;
+import org.bramleylatch.edge.MonotonicClock;
+import org.bramleylatch.edge.Signals;
+import org.bramleylatch.platform.BootFile;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Starts a gateway. */
+public final class GatewayMain {
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+    private static final String NAME = "bramleylatch-gateway";
+
+    @Option(name = "--settings", metaVar = "FILE", usage = "the gateway's settings, in JSON")
+    private String settings = "deploy/gateway.json";
+
+    @Option(name = "--boot", metaVar = "FILE", usage = "the platform's boot file")
+    private String boot = BootFile.path();
+
+    @Option(name = "--help", aliases = "-h", help = true, usage = "print this and exit")
+    private boolean help;
+
+    @Option(name = "--version", help = true, usage = "print the version and exit")
+    private boolean version;
+
+    private GatewayMain() {}
+
+    /** Runs until the process is asked to stop. */
+    public static void main(String[] arguments) {
+        GatewayMain main = new GatewayMain();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(arguments);
+            main.run(parser);
+        } catch (CmdLineException wrong) {
+            System.err.println(NAME + ": " + wrong.getMessage());
+            parser.printUsage(System.err);
+            System.exit(USAGE);
+        } catch (ResultException | CompletionException failure) {
+            System.err.println(NAME + ": " + failure.getMessage());
+            System.exit(FAILED);
+        }
+    }
+
+    private void run(CmdLineParser parser) {
+        if (help) {
+            System.out.println("usage: " + NAME + " [--settings FILE] [--boot FILE]");
+            parser.printUsage(System.out);
+        } else if (version) {
+            System.out.println(NAME + " " + Build.version());
+        } else {
+            start();
+        }
+    }
+
+    private void start() {
+        GatewayDaemon daemon =
+                GatewayDaemon.start(
+                                MonotonicClock.system(),
+                                BootFile.read(boot),
+                                GatewaySettings.read(settings))
+                        .join();
+        Signals.on("HUP", daemon::reload);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> daemon.stop().join()));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewaySettings.java
@@ -0,0 +1,86 @@
+package org.bramleylatch.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.ResultException;
+import org.bramleylatch.wire.Json;
+
+/**
+ * Holds the gateway's own settings; what the platform says comes in its boot file.
+ *
+ * @param grantHorizonMillis how long a full grant lasts at the forecast demand
+ * @param smallestGrantTokens what is held of a budget beyond that
+ * @param routersExpected among how many routers the allowance of retries is split
+ * @param logLinesPerSecond the most lines of the event log in a second
+ * @param storeWaitMillis how long a read of the store waits for news
+ * @param ledgerPauseMillis how long news of the ledger gather before they are read
+ */
+public record GatewaySettings(
+        long grantHorizonMillis,
+        long smallestGrantTokens,
+        int routersExpected,
+        int logLinesPerSecond,
+        long storeWaitMillis,
+        long ledgerPauseMillis) {
+    private static final Set<String> FIELDS =
+            Set.of(
+                    "grantHorizonMillis",
+                    "smallestGrantTokens",
+                    "routersExpected",
+                    "logLinesPerSecond",
+                    "storeWaitMillis",
+                    "ledgerPauseMillis");
+
+    /**
+     * Returns the settings in the text.
+     *
+     * @param source the file, for the message
+     * @throws ResultException with SETTINGS_INVALID and the field that is missing, unknown or wrong
+     */
+    public static GatewaySettings parse(String source, String json) {
+        JsonNode root = Json.readTree(json);
+        Set<String> unknown = new TreeSet<>();
+        root.fieldNames().forEachRemaining(unknown::add);
+        unknown.removeAll(FIELDS);
+        if (!unknown.isEmpty()) {
+            throw invalid(source, unknown + " unknown");
+        }
+        return new GatewaySettings(
+                positive(source, root, "grantHorizonMillis"),
+                positive(source, root, "smallestGrantTokens"),
+                (int) positive(source, root, "routersExpected"),
+                (int) positive(source, root, "logLinesPerSecond"),
+                positive(source, root, "storeWaitMillis"),
+                positive(source, root, "ledgerPauseMillis"));
+    }
+
+    /**
+     * Reads the settings.
+     *
+     * @throws ResultException with SETTINGS_INVALID if the file can't be read or is wrong
+     */
+    public static GatewaySettings read(String file) {
+        try {
+            return parse(file, Files.readString(Path.of(file)));
+        } catch (IOException unreadable) {
+            throw invalid(file, "cannot be read");
+        }
+    }
+
+    private static long positive(String source, JsonNode root, String field) {
+        JsonNode value = root.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToInt() || value.asInt() <= 0) {
+            throw invalid(source, field + ": a positive whole number is needed");
+        }
+        return value.asLong();
+    }
+
+    private static ResultException invalid(String source, String fault) {
+        return ResultException.of(ResultCode.SETTINGS_INVALID, source + ": " + fault);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/Registry.java
@@ -0,0 +1,93 @@
+package org.bramleylatch.gateway;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.platform.BackEndTraits;
+import org.bramleylatch.platform.EndpointEntry;
+import org.bramleylatch.platform.KeyedChange;
+import org.bramleylatch.platform.KeyedPage;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Tells the world what endpoints announce, and remembers where they listen. */
+final class Registry {
+    private static final Logger LOG = LoggerFactory.getLogger(Registry.class);
+
+    private final Function<String, BackEndTraits> traits;
+    private final Consumer<RouterInput> inbox;
+    private final Map<String, EndpointEntry> byKey = new HashMap<>();
+    private final Map<EndpointId, EndpointEntry> byId = new HashMap<>();
+
+    Registry(Function<String, BackEndTraits> traits, Consumer<RouterInput> inbox) {
+        this.traits = traits;
+        this.inbox = inbox;
+    }
+
+    /** Returns the newest entry of an endpoint, also after it was withdrawn. */
+    Optional<EndpointEntry> find(EndpointId endpoint) {
+        return Optional.ofNullable(byId.get(endpoint));
+    }
+
+    /** Takes a page of the endpoints' stream. */
+    void take(KeyedPage page) {
+        inbox.accept(new RouterInput.RegistrySeen(true));
+        if (page.whole()) {
+            withdrawAllBut(page);
+        }
+        page.changes().forEach(this::change);
+    }
+
+    /** Notes that the stream can't be read. */
+    void away() {
+        inbox.accept(new RouterInput.RegistrySeen(false));
+    }
+
+    /** Announces every endpoint again, as their back ends may be described anew. */
+    void announceAll() {
+        byKey.values().forEach(this::announce);
+    }
+
+    private void withdrawAllBut(KeyedPage page) {
+        Set<String> missing = new HashSet<>(byKey.keySet());
+        page.changes().forEach(change -> missing.remove(change.key()));
+        missing.forEach(this::withdraw);
+    }
+
+    private void change(KeyedChange change) {
+        Optional<EndpointEntry> entry =
+                change.value().flatMap(text -> EndpointEntry.parse(change.key(), text));
+        if (entry.isPresent()) {
+            put(change.key(), entry.get());
+        } else if (change.value().isEmpty()) {
+            withdraw(change.key());
+        } else {
+            LOG.info("entry {} is no endpoint's, passed over", change.key());
+        }
+    }
+
+    private void put(String key, EndpointEntry entry) {
+        Optional<EndpointEntry> before = Optional.ofNullable(byKey.put(key, entry));
+        before.filter(old -> !old.id().equals(entry.id()))
+                .ifPresent(old -> inbox.accept(new RouterInput.EndpointWithdrawn(old.id())));
+        if (before.filter(entry::equals).isEmpty()) {
+            announce(entry);
+        }
+    }
+
+    private void announce(EndpointEntry entry) {
+        byId.put(entry.id(), entry);
+        inbox.accept(new RouterInput.EndpointAnnounced(entry.toRow(traits.apply(entry.backEnd()))));
+    }
+
+    private void withdraw(String key) {
+        Optional.ofNullable(byKey.remove(key))
+                .ifPresent(old -> inbox.accept(new RouterInput.EndpointWithdrawn(old.id())));
+    }
+}
--- a/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
+++ b/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
@@ -20,6 +20,7 @@
 import org.bramleylatch.edge.Hello;
 import org.bramleylatch.edge.HybridClock;
 import org.bramleylatch.edge.KeeperProtocol;
+import org.bramleylatch.edge.KeeperReplies;
 import org.bramleylatch.edge.ToKeeper;
 import org.bramleylatch.wire.Address;
 import org.bramleylatch.wire.Compact;
@@ -66,24 +67,6 @@
         return Buffer.buffer(Compact.write(message));
     }
 
-    private static Dispatch<KeeperOutput, RouterInput> translator(Incarnation keeper) {
-        return Dispatch.<KeeperOutput, RouterInput>empty()
-                .on(
-                        KeeperOutput.ReserveGranted.class,
-                        m -> new RouterInput.ReserveGranted(keeper, m.key(), m.grant()))
-                .on(
-                        KeeperOutput.ReserveRefused.class,
-                        m -> new RouterInput.ReserveRefused(keeper, m.key(), m.code()))
-                .on(KeeperOutput.UsageHeld.class, m -> new RouterInput.UsageHeld(m.key()))
-                .on(KeeperOutput.UsageDurable.class, m -> new RouterInput.UsageDurable(m.key()))
-                .on(KeeperOutput.IntentWon.class, m -> new RouterInput.IntentWon(m.key()))
-                .on(KeeperOutput.IntentLost.class, m -> new RouterInput.IntentLost(m.winner()))
-                .on(KeeperOutput.MoveChanged.class, m -> new RouterInput.MoveChanged(m.move()))
-                .on(
-                        KeeperOutput.IntentRefused.class,
-                        m -> new RouterInput.IntentRefused(m.key(), m.code()));
-    }
-
     /** Is the link to the keeper at one address. */
     private final class Link {
         private final Address address;
@@ -124,7 +107,7 @@
                 Hello hello = Compact.read(bytes.getBytes(), Hello.class);
                 order.seen(hello.order());
                 keeper = Optional.of(hello.incarnation());
-                translator = translator(hello.incarnation());
+                translator = KeeperReplies.of(hello.incarnation());
                 links.put(hello.incarnation(), request);
                 inbox.accept(new RouterInput.KeeperUp(hello.incarnation()));
             } else {
