--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -26,7 +26,7 @@
         }
         world.requests().put(row.spec().id(), row);
         world.requestsByKey().put(row.spec().key(), row.spec().id());
-        Retries.earn(world, row.spec(), limits);
+        Retries.earn(world, row.spec(), limits, nowMillis);
         world.timers()
                 .set(new RouterTimer.RequestDeadline(row.spec().id()), row.spec().deadlineMillis());
         world.note(EventKind.REQUEST_ARRIVED, row.spec().key(), describe(row.spec()));
@@ -67,7 +67,10 @@
                                         found.keeper()
                                                 .filter(refused.keeper()::equals)
                                                 .isPresent());
-        if (refused.code() == ResultCode.SHUTTING_DOWN) {
+        if (refused.code() == ResultCode.BUDGET_UNAVAILABLE) {
+            row.ifPresent(
+                    found -> Lending.refused(world, found, refused.lenders(), limits, nowMillis));
+        } else if (refused.code() == ResultCode.SHUTTING_DOWN) {
             world.keepers().remove(refused.keeper());
             row.ifPresent(found -> askKeeper(world, found));
         } else {
@@ -115,7 +118,12 @@
                 new RouterOutput.ToKeeper(
                         keeper.get(),
                         new KeeperInput.ReserveAsked(
-                                world.self(), spec.key(), spec.budget(), spec.billableTokens())));
+                                world.self(),
+                                spec.key(),
+                                spec.budget(),
+                                spec.billableTokens(),
+                                false,
+                                spec.isUrgent())));
     }
 
     private Optional<ResultCode> refusal(RequestSpec spec) {
--- a/core/src/main/java/org/bramleylatch/core/Answers.java
+++ b/core/src/main/java/org/bramleylatch/core/Answers.java
@@ -122,7 +122,7 @@
                 .find(attempt)
                 .flatMap(row -> world.requests().find(row.request()))
                 .filter(row -> row.spec().route().repeatable())
-                .filter(row -> Retries.allows(world, limits, row, true))
+                .filter(row -> Retries.allows(world, limits, row, true, nowMillis))
                 .isPresent();
     }
 
@@ -196,9 +196,9 @@
     private void retryOrRefuse(RequestRow row, EndpointId endpoint, AttemptFailed failed) {
         RunState ran = combine(row, failed.ran());
         RequestRow after = row.failedAt(endpoint, ran, failed.ran() != RunState.NOT_RUN);
-        if (Retries.allows(world, limits, after, failed.arrived())) {
+        if (Retries.allows(world, limits, after, failed.arrived(), nowMillis)) {
             if (failed.arrived()) {
-                Retries.spend(world, after.spec());
+                Retries.spend(world, after.spec(), limits, nowMillis);
             }
             world.requests().put(after.spec().id(), after.in(Stage.QUEUED));
             world.queued().add(after.spec().id());
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -69,14 +69,14 @@
                                         ask.router(), ask.key(), refusal.get()));
                 return false;
             }
+            if (ask.borrowed()) {
+                return lend(ask);
+            }
             Optional<ReservationRow> lost = world.reservations().find(ask.key());
             if (lost.isPresent()) {
                 return adopt(ask, lost.get());
             }
-            world.waiting()
-                    .put(
-                            ask.key(),
-                            ReservationRow.of(ask.key(), ask.router(), ask.budget(), ask.tokens()));
+            world.waiting().put(ask.key(), row(ask));
             HoldingRow holding =
                     world.holding(ask.budget(), nowMillis, limits.demandHalfLifeMillis());
             world.holdings().put(ask.budget(), holding.demanded(ask.tokens(), nowMillis));
@@ -86,6 +86,26 @@
             return world.touched().add(ask.budget());
         }
 
+        private static ReservationRow row(ReserveAsked ask) {
+            return ReservationRow.of(
+                    ask.key(), ask.router(), ask.budget(), ask.tokens(), ask.urgent());
+        }
+
+        /** Sets tokens aside for a router whose own keeper lacks them, if there are enough. */
+        private boolean lend(ReserveAsked ask) {
+            ReservationRow row = row(ask);
+            if (world.availableTokens(ask.budget()) < ask.tokens()) {
+                world.outbox()
+                        .add(
+                                new KeeperOutput.ReserveRefused(
+                                        ask.router(), ask.key(), ResultCode.BUDGET_UNAVAILABLE));
+                return false;
+            }
+            world.holding(ask.budget(), nowMillis, limits.demandHalfLifeMillis());
+            ReservingSystem.grant(world, row);
+            return world.touched().add(ask.budget());
+        }
+
         private boolean adopt(ReserveAsked ask, ReservationRow lost) {
             world.reservations().put(ask.key(), lost.adoptedBy(ask.router()));
             world.timers().clear(new KeeperTimer.OrphanRetry(ask.key()));
@@ -162,13 +182,19 @@
             BudgetId budget = given.grant().budget();
             long tokens = given.usage().tokens();
             Reservations.drop(world, key);
-            world.holdings().update(budget, row -> row.pending(tokens));
-            world.append(new LedgerRecord.UsageSummed(budget, world.self(), tokens));
+            bill(given.grant(), tokens);
             world.outbox().add(new KeeperOutput.UsageDurable(given.router(), key));
             world.note(EventKind.USAGE_HELD, key, "budget=" + budget + " tokens=" + tokens);
             return true;
         }
 
+        private void bill(GrantKey grant, long tokens) {
+            if (grant.holder().equals(world.self())) {
+                world.holdings().update(grant.budget(), row -> row.pending(tokens));
+            }
+            world.append(new LedgerRecord.UsageSummed(grant.budget(), grant.holder(), tokens));
+        }
+
         private boolean fund(FundsSeen seen) {
             seen.funds().stream()
                     .filter(funds -> funds.paidTokens() > paidTokens(funds.budget()))
@@ -242,8 +268,13 @@
             } else if (row.isPresent() && report.tokens().isPresent()) {
                 long tokens = Math.min(report.tokens().getAsLong(), row.get().tokens());
                 GrantKey grant = GrantKey.of(row.get().budget(), world.self());
-                Usage usage = Usage.of(report.key(), tokens);
-                Reservations.settle(world, grant, usage, Optional.empty());
+                if (limits.usageSummed()) {
+                    Reservations.drop(world, report.key());
+                    bill(grant, tokens);
+                } else {
+                    Usage usage = Usage.of(report.key(), tokens);
+                    Reservations.settle(world, grant, usage, Optional.empty());
+                }
             }
             return row.isPresent();
         }
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -6,9 +6,27 @@
 /** Is a message into a keeper's world. */
 public sealed interface KeeperInput {
 
-    /** A router asks for the worst case of a request, in tokens, to be set aside. */
-    record ReserveAsked(Incarnation router, RequestKey key, BudgetId budget, long tokens)
-            implements KeeperInput {}
+    /**
+     * A router asks for the worst case of a request, in tokens, to be set aside.
+     *
+     * @param borrowed true if the router's own keeper lacks them, so that the answer must come at
+     *     once
+     * @param urgent true if it may have the last tokens of its budget
+     */
+    record ReserveAsked(
+            Incarnation router,
+            RequestKey key,
+            BudgetId budget,
+            long tokens,
+            boolean borrowed,
+            boolean urgent)
+            implements KeeperInput {
+
+        /** Returns the ask of a router whose own keeper this is. */
+        public ReserveAsked(Incarnation router, RequestKey key, BudgetId budget, long tokens) {
+            this(router, key, budget, tokens, false, true);
+        }
+    }
 
     /** A router is about to send a request to an endpoint. */
     record AttemptNoted(Incarnation router, RequestKey key, AttemptId attempt, EndpointId endpoint)
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -14,6 +14,7 @@
  * @param mostRecords the most records in one append
  * @param snapshotEveryRecords how many records lie between two snapshots at the most
  * @param demandHalfLifeMillis how fast the forecast of a budget's demand forgets
+ * @param urgentReservePermille the part of what was paid that is kept for urgent requests
  * @param waitsForLog true if a request that lacks tokens waits also while the log is away
  * @param usageSummed true if usage is billed in sums, where no other process bills it too
  * @param snapshotEveryMillis how much time lies between two snapshots at the most
@@ -31,6 +32,7 @@
         int snapshotEveryRecords,
         long snapshotEveryMillis,
         long demandHalfLifeMillis,
+        int urgentReservePermille,
         boolean waitsForLog,
         boolean usageSummed) {
     private static final long DEMAND_HALF_LIFE_MILLIS = 10 * 60 * 1_000L;
@@ -49,11 +51,17 @@
     /** Above the answer time of a log that is fifty times as slow as usual. */
     private static final long APPEND_RETRY_MILLIS = 1_000;
 
+    /** A router that was cut off still bills what its requests used, if it is back by then. */
+    private static final long ORPHAN_GRACE_MILLIS = 10_000;
+
     private static final long ORPHAN_RETRY_MILLIS = 1_000;
     private static final long REVIEW_MILLIS = 1_000;
     private static final int MOST_RECORDS = 500;
     private static final int SNAPSHOT_EVERY_RECORDS = 20_000;
 
+    /** An operator who looks at a budget sees it as it was seconds ago. */
+    private static final long SNAPSHOT_EVERY_MILLIS = 5_000;
+
     /** A reader that missed one snapshot still finds the next. */
     private static final long SNAPSHOTS_KEPT = 4;
 
@@ -75,6 +83,7 @@
                 20_000,
                 600_000,
                 DEMAND_HALF_LIFE_MILLIS,
+                0,
                 true,
                 false);
     }
@@ -94,6 +103,7 @@
                 records,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
+                urgentReservePermille,
                 waitsForLog,
                 usageSummed);
     }
@@ -113,6 +123,7 @@
                 snapshotEveryRecords,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
+                urgentReservePermille,
                 waitsForLog,
                 usageSummed);
     }
@@ -121,21 +132,23 @@
      * Returns the limits of a keeper that shares its process with the only router it serves.
      *
      * @param keepMillis how long the log keeps its records
+     * @param urgentReservePermille the part of what was paid that is kept for urgent requests
      */
-    public static KeeperLimits besideRouter(long keepMillis) {
+    public static KeeperLimits besideRouter(long keepMillis, int urgentReservePermille) {
         return new KeeperLimits(
                 RESERVE_WAIT_MILLIS,
                 INTENT_WAIT_MILLIS,
                 SETTLE_EVERY_MILLIS,
                 URGENT_MILLIS,
                 APPEND_RETRY_MILLIS,
-                0,
+                ORPHAN_GRACE_MILLIS,
                 ORPHAN_RETRY_MILLIS,
                 REVIEW_MILLIS,
                 MOST_RECORDS,
                 SNAPSHOT_EVERY_RECORDS,
-                keepMillis / SNAPSHOTS_KEPT,
+                Math.min(SNAPSHOT_EVERY_MILLIS, keepMillis / SNAPSHOTS_KEPT),
                 FORECAST_HALF_LIFE_MILLIS,
+                urgentReservePermille,
                 false,
                 true);
     }
--- a/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
@@ -15,9 +15,25 @@
     /** Tells a router that tokens are set aside for a request. */
     record ReserveGranted(Incarnation router, RequestKey key, GrantKey grant) implements ToRouter {}
 
-    /** Tells a router that a request must be refused. */
-    record ReserveRefused(Incarnation router, RequestKey key, ResultCode code)
-            implements ToRouter {}
+    /**
+     * Tells a router that tokens were not set aside.
+     *
+     * @param lenders the keepers that seem to hold enough, the richest first
+     */
+    record ReserveRefused(
+            Incarnation router, RequestKey key, ResultCode code, List<Incarnation> lenders)
+            implements ToRouter {
+
+        /** Copies the list. */
+        public ReserveRefused {
+            lenders = List.copyOf(lenders);
+        }
+
+        /** Returns a refusal that names nobody else to ask. */
+        public ReserveRefused(Incarnation router, RequestKey key, ResultCode code) {
+            this(router, key, code, List.of());
+        }
+    }
 
     /** Tells a router that its usage is held here and will be appended. */
     record UsageHeld(Incarnation router, RequestKey key) implements ToRouter {}
--- a/core/src/main/java/org/bramleylatch/core/LogWriter.java
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -133,7 +133,9 @@
         if (record instanceof UsageReported usage) {
             return GrantKey.of(usage.budget(), usage.holder());
         }
-        return record instanceof UsageSummed sum ? sum.budget() : new Object();
+        return record instanceof UsageSummed sum
+                ? List.of(sum.budget(), sum.holder())
+                : new Object();
     }
 
     private static LedgerRecord join(LedgerRecord first, LedgerRecord second) {
--- a/core/src/main/java/org/bramleylatch/core/Outcomes.java
+++ b/core/src/main/java/org/bramleylatch/core/Outcomes.java
@@ -66,6 +66,7 @@
         world.requests().remove(id);
         world.requestsByKey().remove(row.spec().key());
         world.queued().remove(id);
+        world.lenders().remove(id);
         world.timers().clear(new RouterTimer.RequestDeadline(id));
         world.timers().clear(new RouterTimer.ReserveWait(id));
         world.timers().clear(new RouterTimer.QueueWait(id));
--- a/core/src/main/java/org/bramleylatch/core/ReadBack.java
+++ b/core/src/main/java/org/bramleylatch/core/ReadBack.java
@@ -59,7 +59,9 @@
     }
 
     private static void endSum(KeeperWorld world, UsageSummed summed) {
-        world.holdings().update(summed.budget(), row -> row.pending(-summed.tokens()));
+        if (summed.holder().equals(world.self())) {
+            world.holdings().update(summed.budget(), row -> row.pending(-summed.tokens()));
+        }
     }
 
     private static void endReturn(KeeperWorld world, GrantReturned returned) {
--- a/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
@@ -5,6 +5,11 @@
 
 /** Sets tokens aside for requests that wait, as far as the own grants go. */
 record ReservingSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
+    /** So many round trips to others still fit into a caller's target. */
+    private static final int MOST_LENDERS = 8;
+
+    private static final long WHOLE_PERMILLE = 1_000;
+
     private static final Comparator<ReservationRow> BY_AGE =
             Comparator.<ReservationRow>comparingLong(row -> row.key().issuedMillis())
                     .thenComparing(row -> row.key().toString());
@@ -21,25 +26,77 @@
 
     /** Refuses the request and tells whether the budget is used up or just not at hand. */
     static void refuse(KeeperWorld world, ReservationRow row) {
+        refuse(world, row, reason(world, row), lenders(world, row));
+    }
+
+    private static void refuse(
+            KeeperWorld world, ReservationRow row, ResultCode code, List<Incarnation> lenders) {
         Reservations.drop(world, row.key());
-        ResultCode code = reason(world, row);
-        world.outbox().add(new KeeperOutput.ReserveRefused(row.router(), row.key(), code));
-        world.note(EventKind.RESERVATION_REFUSED, row.key(), code + " budget=" + row.budget());
+        world.outbox().add(new KeeperOutput.ReserveRefused(row.router(), row.key(), code, lenders));
+        world.note(
+                EventKind.RESERVATION_REFUSED,
+                row.key(),
+                code
+                        + " budget="
+                        + row.budget()
+                        + " tokens="
+                        + row.tokens()
+                        + " available="
+                        + world.availableTokens(row.budget())
+                        + " lenders="
+                        + lenders.size()
+                        + " logLost="
+                        + world.isLogLost()
+                        + " ledger="
+                        + world.ledger().nextOffset());
     }
 
     private void serve(KeeperWorld world, ReservationRow row) {
-        if (world.availableTokens(row.budget()) >= row.tokens()) {
+        if (!row.urgent() && !leavesReserve(world, row)) {
+            refuse(world, row, ResultCode.BUDGET_UNAVAILABLE, List.of());
+        } else if (world.availableTokens(row.budget()) >= row.tokens()) {
             grant(world, row);
-        } else if (isHopeless(world) || reason(world, row) != ResultCode.BUDGET_UNAVAILABLE) {
+        } else if (isHopeless(world, row) || reason(world, row) != ResultCode.BUDGET_UNAVAILABLE) {
             refuse(world, row);
         }
     }
 
-    private boolean isHopeless(KeeperWorld world) {
-        return world.isLogLost() && !limits.waitsForLog();
+    /**
+     * The last tokens of a budget that nobody holds are kept for its urgent requests; what is held
+     * may be lost with its holder.
+     */
+    private boolean leavesReserve(KeeperWorld world, ReservationRow row) {
+        return world.ledger().budgets().find(row.budget()).map(this::hasReserve).orElse(true);
+    }
+
+    private boolean hasReserve(BudgetRow budget) {
+        long reserve = budget.paidTokens() * limits.urgentReservePermille() / WHOLE_PERMILLE;
+        return reserve == 0 || budget.freeTokens() >= reserve;
+    }
+
+    /** Nothing comes in time if the log is away, or if others hold all that is left. */
+    private boolean isHopeless(KeeperWorld world, ReservationRow row) {
+        return !limits.waitsForLog()
+                && (world.isLogLost() || !isFree(world, row) && !lenders(world, row).isEmpty());
+    }
+
+    private static boolean isFree(KeeperWorld world, ReservationRow row) {
+        long free =
+                world.ledger().budgets().find(row.budget()).map(BudgetRow::freeTokens).orElse(0L);
+        return free + world.availableTokens(row.budget()) >= row.tokens();
+    }
+
+    private static List<Incarnation> lenders(KeeperWorld world, ReservationRow row) {
+        return world.ledger().grantsOf(row.budget()).stream()
+                .filter(grant -> !grant.frozen() && grant.openTokens() >= row.tokens())
+                .filter(grant -> !grant.key().holder().equals(world.self()))
+                .sorted(Comparator.comparingLong(GrantRow::openTokens).reversed())
+                .limit(MOST_LENDERS)
+                .map(grant -> grant.key().holder())
+                .toList();
     }
 
-    private static void grant(KeeperWorld world, ReservationRow row) {
+    static void grant(KeeperWorld world, ReservationRow row) {
         Reservations.hold(world, row);
         GrantKey grant = GrantKey.of(row.budget(), world.self());
         world.outbox().add(new KeeperOutput.ReserveGranted(row.router(), row.key(), grant));
--- a/core/src/main/java/org/bramleylatch/core/Retries.java
+++ b/core/src/main/java/org/bramleylatch/core/Retries.java
@@ -5,12 +5,10 @@
 
     private Retries() {}
 
-    /** Adds the part of a retry that a new request earns for its back end. */
-    static void earn(RouterWorld world, RequestSpec spec, RouterLimits limits) {
-        RetryRow before =
-                world.retries().findOrAdd(spec.backEnd(), () -> RetryRow.of(limits.retryBurst()));
-        world.retries()
-                .put(spec.backEnd(), before.earned(limits.retryPermille(), limits.retryBurst()));
+    /** Counts a new request, which adds to the allowance of its back end. */
+    static void earn(RouterWorld world, RequestSpec spec, RouterLimits limits, long nowMillis) {
+        RetryRow before = row(world, spec);
+        world.retries().put(spec.backEnd(), before.asked(nowMillis, limits.retryWindowMillis()));
     }
 
     /**
@@ -19,18 +17,26 @@
      * @param arrived false if its last attempt never reached an endpoint, so that the allowance is
      *     not touched
      */
-    static boolean allows(RouterWorld world, RouterLimits limits, RequestRow row, boolean arrived) {
+    static boolean allows(
+            RouterWorld world,
+            RouterLimits limits,
+            RequestRow row,
+            boolean arrived,
+            long nowMillis) {
         boolean safe = row.spec().route().repeatable() || row.ran() == RunState.NOT_RUN;
         int most = Math.min(limits.mostAttempts(), row.spec().route().terms().mostAttempts());
-        return safe && row.attempts() < most && (!arrived || hasAllowance(world, row.spec()));
+        return safe
+                && row.attempts() < most
+                && (!arrived || row(world, row.spec()).allows(nowMillis, limits, world.routers()));
     }
 
     /** Takes a retry from the allowance of the request's back end. */
-    static void spend(RouterWorld world, RequestSpec spec) {
-        world.retries().update(spec.backEnd(), RetryRow::spent);
+    static void spend(RouterWorld world, RequestSpec spec, RouterLimits limits, long nowMillis) {
+        RetryRow before = row(world, spec);
+        world.retries().put(spec.backEnd(), before.spent(nowMillis, limits.retryWindowMillis()));
     }
 
-    private static boolean hasAllowance(RouterWorld world, RequestSpec spec) {
-        return world.retries().find(spec.backEnd()).filter(RetryRow::allows).isPresent();
+    private static RetryRow row(RouterWorld world, RequestSpec spec) {
+        return world.retries().find(spec.backEnd()).orElseGet(RetryRow::empty);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInbox.java
@@ -14,6 +14,7 @@
 import org.bramleylatch.core.RouterInput.IntentLost;
 import org.bramleylatch.core.RouterInput.IntentRefused;
 import org.bramleylatch.core.RouterInput.IntentWon;
+import org.bramleylatch.core.RouterInput.KeeperBeside;
 import org.bramleylatch.core.RouterInput.KeeperDown;
 import org.bramleylatch.core.RouterInput.KeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
@@ -21,6 +22,7 @@
 import org.bramleylatch.core.RouterInput.RequestArrived;
 import org.bramleylatch.core.RouterInput.ReserveGranted;
 import org.bramleylatch.core.RouterInput.ReserveRefused;
+import org.bramleylatch.core.RouterInput.RoutersKnown;
 import org.bramleylatch.core.RouterInput.ServiceAnswered;
 import org.bramleylatch.core.RouterInput.StopAsked;
 import org.bramleylatch.core.RouterInput.TokensArrived;
@@ -65,6 +67,8 @@
                 .on(EndpointsListed.class, view::list)
                 .on(EndpointReported.class, view::report)
                 .on(KeeperUp.class, view::keeperUp)
+                .on(KeeperBeside.class, view::keeperBeside)
+                .on(RoutersKnown.class, view::routersKnown)
                 .on(KeeperDown.class, view::keeperDown)
                 .on(MoveChanged.class, view::move)
                 .on(StopAsked.class, message -> view.stop());
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -50,8 +50,26 @@
             implements RouterInput {}
 
     /** A keeper refused to. */
-    record ReserveRefused(Incarnation keeper, RequestKey key, ResultCode code)
-            implements RouterInput {}
+    record ReserveRefused(
+            Incarnation keeper, RequestKey key, ResultCode code, List<Incarnation> lenders)
+            implements RouterInput {
+
+        /** Copies the list. */
+        public ReserveRefused {
+            lenders = List.copyOf(lenders);
+        }
+
+        /** Returns a refusal that names nobody else to ask. */
+        public ReserveRefused(Incarnation keeper, RequestKey key, ResultCode code) {
+            this(keeper, key, code, List.of());
+        }
+    }
+
+    /** So many routers are known, this one among them; gone ones may still count. */
+    record RoutersKnown(int count) implements RouterInput {}
+
+    /** The keeper in the same process is up; it is asked before others. */
+    record KeeperBeside(Incarnation keeper) implements RouterInput {}
 
     /** This router alone may run the request. */
     record IntentWon(RequestKey key) implements RouterInput {}
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -14,7 +14,10 @@
  * @param pausedMillis how long a paused attempt may keep its place at the endpoint
  * @param moveReportMillis how long to gather what was seen of moves before it is reported
  * @param registrySettleMillis how long after its return the registry may still miss live endpoints
- * @param retryBurst how many retries a back end may have ahead of what its requests earn
+ * @param lendMillis how long to wait for the keeper of another router
+ * @param retryWindowMillis over which retries are counted
+ * @param retryBurst how many retries a back end may have in a window beyond what its requests earn,
+ *     among all routers
  * @param retryPermille how many retries a route may add to its requests, in thousandths
  */
 public record RouterLimits(
@@ -30,16 +33,36 @@
         int retryPermille,
         long moveReportMillis,
         int retryBurst,
-        long registrySettleMillis) {
+        long registrySettleMillis,
+        long lendMillis,
+        long retryWindowMillis) {
+    private static final long RETRY_WINDOW_MILLIS = 10_000;
+
+    /** A few round trips between zones, so that a keeper behind a partition is passed over. */
+    private static final long LEND_MILLIS = 60;
 
     /** Returns the limits for the sizes of today. */
     public static RouterLimits standard() {
         return new RouterLimits(
-                24, 2_500, 500, 3, 2_500, 10_000, 5_000, 500, 2_000, 100, 250, 20, 0);
+                24,
+                2_500,
+                500,
+                3,
+                2_500,
+                10_000,
+                5_000,
+                500,
+                2_000,
+                100,
+                250,
+                20,
+                0,
+                LEND_MILLIS,
+                RETRY_WINDOW_MILLIS);
     }
 
     /** Returns the limits with another allowance of retries for each back end. */
-    public RouterLimits withRetries(int burst, int permille) {
+    public RouterLimits withRetries(int burst, int permille, long windowMillis) {
         return new RouterLimits(
                 mostEndpoints,
                 mostOpen,
@@ -53,7 +76,9 @@
                 permille,
                 moveReportMillis,
                 burst,
-                registrySettleMillis);
+                registrySettleMillis,
+                lendMillis,
+                windowMillis);
     }
 
     /**
@@ -76,7 +101,9 @@
                 retryPermille,
                 moveReportMillis,
                 retryBurst,
-                settleMillis);
+                settleMillis,
+                lendMillis,
+                retryWindowMillis);
     }
 
     /** Returns the limits with another bound on the silence of an endpoint. */
@@ -94,6 +121,8 @@
                 retryPermille,
                 moveReportMillis,
                 retryBurst,
-                registrySettleMillis);
+                registrySettleMillis,
+                lendMillis,
+                retryWindowMillis);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimers.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.core;
 
+import java.util.List;
 import java.util.Optional;
 import org.bramleylatch.core.RequestRow.Stage;
 import org.bramleylatch.core.RouterTimer.AttemptCheck;
@@ -56,15 +57,24 @@
     private boolean giveUpReserve(RouterWorld world, RequestId id, long nowMillis) {
         Optional<RequestRow> row =
                 world.requests().find(id).filter(found -> found.stage() == Stage.RESERVING);
-        row.flatMap(RequestRow::keeper).ifPresent(world.keepers()::remove);
+        row.flatMap(RequestRow::keeper).ifPresent(keeper -> silent(world, keeper));
         row.ifPresent(found -> askAnother(world, found, nowMillis));
         return row.isPresent();
     }
 
+    private static void silent(RouterWorld world, Incarnation keeper) {
+        world.keepers().remove(keeper);
+        world.note(EventKind.KEEPER_LOST, keeper, "silent, keepers=" + world.keepers().size());
+    }
+
     private void askAnother(RouterWorld world, RequestRow row, long nowMillis) {
         RequestId id = row.spec().id();
-        world.timers().set(new ReserveWait(id), nowMillis + limits.reserveMillis());
-        Admission.askKeeper(world, row);
+        if (world.lenders().has(id)) {
+            Lending.refused(world, row, List.of(), limits, nowMillis);
+        } else {
+            world.timers().set(new ReserveWait(id), nowMillis + limits.reserveMillis());
+            Admission.askKeeper(world, row);
+        }
     }
 
     private boolean check(RouterWorld world, AttemptCheck due, long nowMillis) {
@@ -88,7 +98,7 @@
             park(world, row);
         } else if (nowMillis < dueMillis) {
             world.timers().set(new AttemptCheck(row.id()), dueMillis);
-        } else if (isWaitedOut(world, row)) {
+        } else if (isWaitedOut(world, row, nowMillis)) {
             world.timers().set(new AttemptCheck(row.id()), nowMillis + silentMillis);
         } else {
             world.inbox()
@@ -103,10 +113,10 @@
         return begun ? limits.stallMillis() : limits.firstTokenMillis();
     }
 
-    private boolean isWaitedOut(RouterWorld world, AttemptRow row) {
+    private boolean isWaitedOut(RouterWorld world, AttemptRow row, long nowMillis) {
         Optional<RequestRow> request = world.requests().find(row.request());
         return request.filter(found -> found.spec().route().terms().waitsOutSilence())
-                .filter(found -> !Retries.allows(world, limits, found, true))
+                .filter(found -> !Retries.allows(world, limits, found, true, nowMillis))
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterView.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterView.java
@@ -8,9 +8,11 @@
 import org.bramleylatch.core.RouterInput.ConfigurationSeen;
 import org.bramleylatch.core.RouterInput.EndpointReported;
 import org.bramleylatch.core.RouterInput.EndpointsListed;
+import org.bramleylatch.core.RouterInput.KeeperBeside;
 import org.bramleylatch.core.RouterInput.KeeperDown;
 import org.bramleylatch.core.RouterInput.KeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
+import org.bramleylatch.core.RouterInput.RoutersKnown;
 
 /** Keeps a router's view of the configuration, the endpoints and the keepers. */
 record RouterView(RouterWorld world, RouterLimits limits, long nowMillis) {
@@ -58,12 +60,17 @@
 
     /** Takes a keeper into use. */
     boolean keeperUp(KeeperUp up) {
-        return world.keepers().add(up.keeper());
+        boolean isNew = world.keepers().add(up.keeper());
+        if (isNew) {
+            world.note(EventKind.KEEPER_FOUND, up.keeper(), "keepers=" + world.keepers().size());
+        }
+        return isNew;
     }
 
     /** Moves what waited for a lost keeper to another one. */
     boolean keeperDown(KeeperDown down) {
         world.keepers().remove(down.keeper());
+        world.note(EventKind.KEEPER_LOST, down.keeper(), "keepers=" + world.keepers().size());
         world.settlements()
                 .where(row -> row.keeper().filter(down.keeper()::equals).isPresent())
                 .forEach(row -> world.settlements().put(row.usage().key(), row.lost()));
@@ -86,6 +93,16 @@
     }
 
     /** Begins a planned stop. */
+    boolean routersKnown(RoutersKnown known) {
+        world.setRouters(Math.max(world.routers(), known.count()));
+        return true;
+    }
+
+    boolean keeperBeside(KeeperBeside beside) {
+        world.setBeside(beside.keeper());
+        return world.keepers().add(beside.keeper());
+    }
+
     boolean stop() {
         world.setStopping();
         return true;
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -20,6 +20,8 @@
     private final Table<RequestKey, SettlementRow> settlements = Table.empty();
     private final Table<String, RetryRow> retries = Table.empty();
     private final Table<RouteName, MoveWatch> moves = Table.empty();
+    private final Table<RequestId, List<Incarnation>> lenders = Table.empty();
+    private final Table<GrantKey, Long> lendersAtRest = Table.empty();
     private final Set<RequestId> queued = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
     private final Deadlines<RouterTimer> timers = Deadlines.empty();
@@ -27,7 +29,9 @@
     private final Zone zone;
     private final Supplier<AttemptId> attemptIds;
     private Configuration configuration = Configuration.empty();
+    private Optional<Incarnation> beside = Optional.empty();
     private boolean stopping;
+    private int routers = 1;
     private long nextMoveReportMillis;
     private boolean registryReachable;
     private long registryBackMillis;
@@ -125,6 +129,16 @@
         return retries;
     }
 
+    /** Returns the keepers that may still be asked, by request that was refused tokens. */
+    Table<RequestId, List<Incarnation>> lenders() {
+        return lenders;
+    }
+
+    /** Returns until when a keeper is not asked for tokens of a budget, in milliseconds. */
+    Table<GrantKey, Long> lendersAtRest() {
+        return lendersAtRest;
+    }
+
     Set<RequestId> queued() {
         return queued;
     }
@@ -165,13 +179,26 @@
         registryBackMillis = millis;
     }
 
+    void setBeside(Incarnation keeper) {
+        beside = Optional.of(keeper);
+    }
+
+    /** Returns among how many routers the fleet's allowances are split. */
+    int routers() {
+        return routers;
+    }
+
+    void setRouters(int count) {
+        routers = count;
+    }
+
     void setStopping() {
         stopping = true;
     }
 
     /** Returns the keeper that the budget's requests go to, if one can be reached. */
     Optional<Incarnation> keeperOf(BudgetId budget) {
-        return Rendezvous.first(budget.value(), keepers);
+        return beside.or(() -> Rendezvous.first(budget.value(), keepers));
     }
 
     /** Returns the endpoints that may serve the request now, in order of their ids. */
--- a/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
@@ -30,9 +30,31 @@
         SnapshotAssembly.split(image).forEach(world::append);
         world.setSnapshotOffset(image.nextOffset());
         world.setSnapshotMillis(nowMillis);
+        world.ledger().budgets().rows().forEach(row -> state(world, row));
         world.note(EventKind.SNAPSHOT_TAKEN, world.self(), "nextOffset=" + image.nextOffset());
     }
 
+    private static void state(KeeperWorld world, BudgetRow row) {
+        long frozen =
+                world.ledger().grantsOf(row.id()).stream()
+                        .filter(GrantRow::frozen)
+                        .mapToLong(GrantRow::openTokens)
+                        .sum();
+        world.note(
+                EventKind.BUDGET_STATE,
+                row.id(),
+                "paid="
+                        + row.paidTokens()
+                        + " settled="
+                        + row.settledTokens()
+                        + " open="
+                        + row.openTokens()
+                        + " stranded="
+                        + frozen
+                        + " offset="
+                        + world.ledger().nextOffset());
+    }
+
     private void arm(KeeperWorld world) {
         KeeperTimer timer = new KeeperTimer.SnapshotDue();
         long dueMillis = world.snapshotMillis() + spread(world, limits.snapshotEveryMillis());
--- a/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -31,6 +31,7 @@
     private final LedgerCursor cursor = LedgerCursor.atStart();
     private boolean caughtUp;
     private boolean askedPeers;
+    private boolean warned;
 
     /** Makes a reader; nothing is read yet. */
     public AccountStream(LogService platform, Incarnation self, Consumer<LedgerFeed> world) {
@@ -99,7 +100,8 @@
     }
 
     private void warnAtStart() {
-        if (!caughtUp && !askedPeers) {
+        if (!caughtUp && !warned) {
+            warned = true;
             ResultCode code = ResultCode.PLATFORM_UNREACHABLE;
             LOG.warn("{} {}: not ready until the log answers", code.number(), code);
         }
--- a/router/src/main/java/org/bramleylatch/router/KeeperLinks.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperLinks.java
@@ -1,4 +1,4 @@
-package org.bramleylatch.router;
+package org.bramleylatch.edge;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -7,57 +7,53 @@
 import io.vertx.grpc.client.GrpcClientRequest;
 import io.vertx.grpc.client.GrpcClientResponse;
 import java.util.HashMap;
-import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.bramleylatch.core.Dispatch;
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.KeeperOutput;
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterOutput;
-import org.bramleylatch.edge.FromKeeper;
-import org.bramleylatch.edge.Hello;
-import org.bramleylatch.edge.HybridClock;
-import org.bramleylatch.edge.KeeperProtocol;
-import org.bramleylatch.edge.KeeperReplies;
-import org.bramleylatch.edge.ToKeeper;
 import org.bramleylatch.wire.Address;
 import org.bramleylatch.wire.Compact;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Keeps a link to every keeper of the zone; a broken link is opened again. */
-final class KeeperLinks {
+public final class KeeperLinks {
+    private static final Logger LOG = LoggerFactory.getLogger(KeeperLinks.class);
     private static final long REOPEN_MILLIS = 200;
 
     private final Vertx vertx;
     private final Incarnation self;
     private final HybridClock order;
-    private final List<Address> addresses;
+    private final Set<Address> addresses = new HashSet<>();
     private final Consumer<RouterInput> inbox;
     private final GrpcClient client;
     private final Map<Incarnation, GrpcClientRequest<Buffer, Buffer>> links = new HashMap<>();
 
-    KeeperLinks(
-            Vertx vertx,
-            Incarnation self,
-            HybridClock order,
-            List<Address> addresses,
-            Consumer<RouterInput> inbox) {
+    /** Makes the links; none is open yet. */
+    public KeeperLinks(
+            Vertx vertx, Incarnation self, HybridClock order, Consumer<RouterInput> inbox) {
         this.vertx = vertx;
         this.self = self;
         this.order = order;
-        this.addresses = addresses;
         this.inbox = inbox;
         this.client = GrpcClient.client(vertx);
     }
 
-    /** Opens a link to every keeper. */
-    void begin() {
-        addresses.forEach(address -> new Link(address).open());
+    /** Opens a link to the keeper at the address, unless there is one. */
+    public void open(Address address) {
+        if (addresses.add(address)) {
+            new Link(address).open();
+        }
     }
 
     /** Sends a message; it is dropped if the link is broken, which the world is told of. */
-    void send(RouterOutput.ToKeeper output) {
+    public void send(RouterOutput.ToKeeper output) {
         Optional.ofNullable(links.get(output.keeper()))
                 .ifPresent(
                         link -> link.write(buffer(new ToKeeper(order.next(), output.message()))));
@@ -73,6 +69,7 @@
         private Optional<Incarnation> keeper = Optional.empty();
         private Dispatch<KeeperOutput, RouterInput> translator = Dispatch.empty();
         private boolean reopening;
+        private boolean lost;
 
         Link(Address address) {
             this.address = address;
@@ -82,15 +79,15 @@
             reopening = false;
             SocketAddress server = SocketAddress.inetSocketAddress(address.port(), address.ip());
             client.request(server, KeeperProtocol.client())
-                    .onFailure(failure -> reopen())
+                    .onFailure(this::lose)
                     .onSuccess(this::greet);
         }
 
         private void greet(GrpcClientRequest<Buffer, Buffer> request) {
-            request.exceptionHandler(failure -> lose());
+            request.exceptionHandler(this::lose);
             request.response()
                     .onSuccess(response -> listen(request, response))
-                    .onFailure(failure -> lose());
+                    .onFailure(this::lose);
             request.write(buffer(new Hello(self, order.next())));
         }
 
@@ -99,13 +96,14 @@
                 GrpcClientResponse<Buffer, Buffer> response) {
             response.handler(bytes -> take(request, bytes));
             response.endHandler(end -> lose());
-            response.exceptionHandler(failure -> lose());
+            response.exceptionHandler(this::lose);
         }
 
         private void take(GrpcClientRequest<Buffer, Buffer> request, Buffer bytes) {
             if (keeper.isEmpty()) {
                 Hello hello = Compact.read(bytes.getBytes(), Hello.class);
                 order.seen(hello.order());
+                lost = false;
                 keeper = Optional.of(hello.incarnation());
                 translator = KeeperReplies.of(hello.incarnation());
                 links.put(hello.incarnation(), request);
@@ -117,6 +115,14 @@
             }
         }
 
+        private void lose(Throwable failure) {
+            if (!lost) {
+                lost = true;
+                LOG.info("keeper at {}: {}", address, failure.toString());
+            }
+            lose();
+        }
+
         private void lose() {
             keeper.ifPresent(links::remove);
             keeper.map(RouterInput.KeeperDown::new).ifPresent(inbox);
--- a/edge/src/main/java/org/bramleylatch/edge/KeeperReplies.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperReplies.java
@@ -18,7 +18,7 @@
                         m -> new RouterInput.ReserveGranted(keeper, m.key(), m.grant()))
                 .on(
                         KeeperOutput.ReserveRefused.class,
-                        m -> new RouterInput.ReserveRefused(keeper, m.key(), m.code()))
+                        m -> new RouterInput.ReserveRefused(keeper, m.key(), m.code(), m.lenders()))
                 .on(KeeperOutput.UsageHeld.class, m -> new RouterInput.UsageHeld(m.key()))
                 .on(KeeperOutput.UsageDurable.class, m -> new RouterInput.UsageDurable(m.key()))
                 .on(KeeperOutput.IntentWon.class, m -> new RouterInput.IntentWon(m.key()))
--- a/keeper/src/main/java/org/bramleylatch/keeper/RouterLinks.java
+++ b/edge/src/main/java/org/bramleylatch/edge/RouterLinks.java
@@ -1,4 +1,4 @@
-package org.bramleylatch.keeper;
+package org.bramleylatch.edge;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -12,15 +12,10 @@
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.KeeperOutput;
-import org.bramleylatch.edge.FromKeeper;
-import org.bramleylatch.edge.Hello;
-import org.bramleylatch.edge.HybridClock;
-import org.bramleylatch.edge.KeeperProtocol;
-import org.bramleylatch.edge.ToKeeper;
 import org.bramleylatch.wire.Compact;
 
 /** Serves the links of routers; each is one gRPC call with a stream each way. */
-final class RouterLinks {
+public final class RouterLinks {
     private static final String GRPC_TYPE = "application/grpc";
 
     private final Incarnation self;
@@ -29,7 +24,9 @@
     private final GrpcServer server;
     private final Map<Incarnation, GrpcServerRequest<Buffer, Buffer>> links = new HashMap<>();
 
-    RouterLinks(Vertx vertx, Incarnation self, HybridClock order, Consumer<KeeperInput> world) {
+    /** Makes the links; none is open yet. */
+    public RouterLinks(
+            Vertx vertx, Incarnation self, HybridClock order, Consumer<KeeperInput> world) {
         this.self = self;
         this.order = order;
         this.world = world;
@@ -38,18 +35,18 @@
     }
 
     /** Returns true if the request opens a link. */
-    boolean accepts(HttpServerRequest request) {
+    public boolean accepts(HttpServerRequest request) {
         String type = request.getHeader("content-type");
         return type != null && type.startsWith(GRPC_TYPE);
     }
 
     /** Opens a link. */
-    void handle(HttpServerRequest request) {
+    public void handle(HttpServerRequest request) {
         server.handle(request);
     }
 
     /** Sends a message to the router that it is for; it is dropped if that router is gone. */
-    void send(KeeperOutput.ToRouter output) {
+    public void send(KeeperOutput.ToRouter output) {
         Optional.ofNullable(links.get(output.router())).ifPresent(link -> write(link, output));
     }
 
--- a/edge/src/main/java/org/bramleylatch/edge/TickLoop.java
+++ b/edge/src/main/java/org/bramleylatch/edge/TickLoop.java
@@ -9,6 +9,8 @@
 import java.util.function.Consumer;
 import org.bramleylatch.core.Schedule;
 import org.bramleylatch.core.World;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Runs a world's schedule when a message has come in or a deadline has passed, on one event loop.
@@ -19,6 +21,7 @@
  * @param <W> the world
  */
 public final class TickLoop<I, O, W extends World<I, O>> {
+    private static final Logger LOG = LoggerFactory.getLogger(TickLoop.class);
     private static final int MOST_OUT_PER_TURN = 10_000;
     private static final long NO_TIMER = -1;
 
@@ -77,7 +80,7 @@
     private void tick() {
         tickDue = false;
         schedule.tick(world, clock.millis());
-        world.outbox().take(MOST_OUT_PER_TURN).forEach(carrier);
+        world.outbox().take(MOST_OUT_PER_TURN).forEach(this::carry);
         if (!world.inbox().isEmpty() || !world.outbox().isEmpty()) {
             tickDue = true;
             context.runOnContext(ignored -> tick());
@@ -85,6 +88,15 @@
         armTimer();
     }
 
+    /** Carries a message; a fault of one carrier must not keep back the messages behind it. */
+    private void carry(O message) {
+        try {
+            carrier.accept(message);
+        } catch (RuntimeException fault) {
+            LOG.error("message not carried: {}", message, fault);
+        }
+    }
+
     private void armTimer() {
         OptionalLong due = world.nextDeadlineMillis();
         if (due.isPresent() && due.getAsLong() != timerMillis) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.gateway;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -116,11 +117,15 @@
         }
     }
 
+    /** Ends the answer; the connection is closed behind it where the head could still say so. */
     private void end(Buffer last, boolean close) {
-        if (close) {
+        if (close && !response().headWritten()) {
             response().putHeader("connection", "close");
         }
-        response().end(last);
+        Future<Void> sent = response().end(last);
+        if (close) {
+            sent.onComplete(done -> request.connection().close());
+        }
     }
 
     private HttpServerResponse response() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -3,11 +3,16 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Context;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.bramleylatch.core.Actions;
 import org.bramleylatch.core.AttemptId;
@@ -29,11 +34,14 @@
 import org.bramleylatch.core.RouterSystems;
 import org.bramleylatch.core.RouterWorld;
 import org.bramleylatch.edge.AccountStream;
+import org.bramleylatch.edge.HybridClock;
 import org.bramleylatch.edge.Incarnations;
+import org.bramleylatch.edge.KeeperLinks;
 import org.bramleylatch.edge.KeeperReplies;
 import org.bramleylatch.edge.LogFollower;
 import org.bramleylatch.edge.Ops;
 import org.bramleylatch.edge.Pace;
+import org.bramleylatch.edge.RouterLinks;
 import org.bramleylatch.edge.Servers;
 import org.bramleylatch.edge.TickLoop;
 import org.bramleylatch.platform.BootFile;
@@ -41,6 +49,7 @@
 import org.bramleylatch.platform.KeyedPage;
 import org.bramleylatch.platform.KeyedStream;
 import org.bramleylatch.platform.StoreClient;
+import org.bramleylatch.wire.Address;
 
 /** Runs a router and a keeper over the users' platform; both on one event loop. */
 public final class GatewayDaemon {
@@ -55,12 +64,17 @@
 
     private static final long STALL_MILLIS = 1_000;
 
-    /** Leaves half of the fleet's allowance for routers that count late. */
-    private static final int RETRY_MARGIN = 2;
+    /** Leaves a part of the fleet's allowance for routers that are not known yet. */
+    private static final int RETRY_PERCENT = 75;
+
+    private static final int PERCENT = 100;
 
     /** The balancer asks every second and takes a router out after two misses. */
     private static final long BALANCER_MILLIS = 2_500;
 
+    /** New peers are rare, and a keeper that is not yet known is not yet needed. */
+    private static final long PEERS_WAIT_MILLIS = 10_000;
+
     /** What is left of the grace for the last appends. */
     private static final long LAST_APPENDS_MILLIS = 700;
 
@@ -84,10 +98,14 @@
     private final OperatorFeed operator;
     private final StoreClient store;
     private final AccountStream accounts;
+    private final RouterLinks routerLinks;
+    private final KeeperLinks keeperLinks;
+    private final Peers peers;
     private final Actions<RouterOutput> routerCarriers;
     private final Actions<KeeperOutput> keeperCarriers;
     private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
     private final CompletableFuture<Void> keeperStopped = new CompletableFuture<>();
+    private final List<Integer> ports = new ArrayList<>();
     private boolean draining;
 
     private GatewayDaemon(
@@ -109,8 +127,7 @@
                         context,
                         clock,
                         routerWorld,
-                        RouterSystems.schedule(
-                                Placement.bySharedPrefix(), limits(boot.bounds(), settings)),
+                        RouterSystems.schedule(Placement.bySharedPrefix(), limits(boot.bounds())),
                         this::carry);
         this.keeperLoop =
                 new TickLoop<>(
@@ -121,8 +138,10 @@
                         KeeperSystems.schedule(
                                 GrantPolicy.bySeconds(
                                         settings.grantHorizonMillis(),
-                                        settings.smallestGrantTokens()),
-                                KeeperLimits.besideRouter(boot.keepMillis())),
+                                        settings.smallestGrantTokens(),
+                                        settings.mostHeldPermille()),
+                                KeeperLimits.besideRouter(
+                                        boot.keepMillis(), settings.urgentReservePermille())),
                         this::carry);
         this.store = new StoreClient(vertx, boot.store(), clock);
         this.operator = new OperatorFeed(routerLoop::offer, keeperLoop::offer);
@@ -147,6 +166,17 @@
         this.accounts =
                 new AccountStream(
                         store, keeper, feed -> keeperLoop.offer(new KeeperInput.FromLog(feed)));
+        HybridClock order = new HybridClock(clock);
+        this.routerLinks = new RouterLinks(vertx, keeper, order, keeperLoop::offer);
+        this.keeperLinks = new KeeperLinks(vertx, router, order, routerLoop::offer);
+        this.peers =
+                new Peers(
+                        vertx,
+                        store,
+                        boot.vm(),
+                        boot.inner(),
+                        keeperLinks::open,
+                        routerLoop::offer);
         this.routerCarriers = routerCarriers();
         this.keeperCarriers = keeperCarriers();
     }
@@ -178,10 +208,12 @@
         note(Event.of(EventKind.SETTINGS_RELOADED, router, "boot file read again"));
     }
 
-    private static RouterLimits limits(Bounds bounds, GatewaySettings settings) {
-        int burst = bounds.retryExtra() / RETRY_MARGIN / settings.routersExpected();
+    private static RouterLimits limits(Bounds bounds) {
         return RouterLimits.standard()
-                .withRetries(Math.max(1, burst), bounds.retryPermille() / RETRY_MARGIN)
+                .withRetries(
+                        bounds.retryExtra() * RETRY_PERCENT / PERCENT,
+                        bounds.retryPermille() * RETRY_PERCENT / PERCENT,
+                        bounds.retryWindowMillis())
                 .withRegistry(MOST_ENDPOINTS, REGISTRY_SETTLE_MILLIS)
                 .withSilence(FIRST_ANSWER_MILLIS, STALL_MILLIS);
     }
@@ -189,18 +221,36 @@
     private void begin(CompletableFuture<GatewayDaemon> started) {
         Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
         note(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
-        routerLoop.offer(new RouterInput.KeeperUp(keeper));
+        routerLoop.offer(new RouterInput.KeeperBeside(keeper));
         keeperLoop.offer(new KeeperInput.RouterSeen(router));
         follow();
         Router ops = Router.router(vertx);
         Ops.mount(ops, metricsRegistry, this::isReady);
+        Handler<HttpServerRequest> inner =
+                request -> {
+                    if (routerLinks.accepts(request)) {
+                        routerLinks.handle(request);
+                    } else {
+                        ops.handle(request);
+                    }
+                };
         Router ready = Router.router(vertx);
         ready.get("/ready")
                 .handler(call -> call.response().setStatusCode(isReady() ? 200 : 503).end());
-        Servers.listen(vertx, boot.callers(), callers::handle)
-                .thenCompose(server -> Servers.listen(vertx, boot.readiness(), ready))
-                .thenCompose(server -> Servers.listen(vertx, boot.metrics(), ops))
-                .whenComplete((server, failure) -> started(started, failure));
+        listen(boot.callers(), callers::handle)
+                .thenCompose(done -> listen(boot.readiness(), ready))
+                .thenCompose(done -> listen(boot.inner(), inner))
+                .whenComplete((done, failure) -> started(started, failure));
+    }
+
+    private CompletableFuture<Void> listen(Address address, Handler<HttpServerRequest> handler) {
+        return Servers.listen(vertx, address, handler)
+                .thenAccept(server -> ports.add(server.actualPort()));
+    }
+
+    /** Returns the ports that it listens on: for callers, readiness and metrics. */
+    List<Integer> ports() {
+        return List.copyOf(ports);
     }
 
     private void started(CompletableFuture<GatewayDaemon> started, Throwable failure) {
@@ -222,6 +272,11 @@
         new LogFollower<KeyedPage>(endpointStream::read, changes)
                 .follow(registry::take, code -> registry.away());
         accounts.follow(ledger);
+        KeyedStream peerStream = KeyedStream.peers(store);
+        new LogFollower<KeyedPage>(
+                        peerStream::read, new Pace(PEERS_WAIT_MILLIS, () -> 0, LONGEST_PAUSE))
+                .follow(peers::take, code -> {});
+        peers.announce();
     }
 
     private boolean isReady() {
@@ -246,16 +301,38 @@
     }
 
     private void carry(KeeperOutput output) {
-        if (output instanceof KeeperOutput.ToRouter) {
-            routerLoop.offer(replies.apply(output));
+        if (output instanceof KeeperOutput.ToRouter reply) {
+            carryReply(reply);
         } else {
             keeperCarriers.accept(output);
         }
     }
 
+    private void carryReply(KeeperOutput.ToRouter reply) {
+        if (reply.router().equals(router)) {
+            routerLoop.offer(replies.apply(reply));
+        } else {
+            routerLinks.send(reply);
+        }
+    }
+
+    private void carryAsk(RouterOutput.ToKeeper ask) {
+        if (ask.keeper().equals(keeper)) {
+            keeperLoop.offer(ask.message());
+        } else {
+            keeperLinks.send(ask);
+        }
+    }
+
+    /** No endpoint can tell what a request used, so one whose router is lost is billed in full. */
+    private void billInFull(KeeperOutput.AskEndpoint ask) {
+        keeperLoop.offer(
+                new KeeperInput.EndpointReported(ask.key(), OptionalLong.of(Long.MAX_VALUE)));
+    }
+
     private Actions<RouterOutput> routerCarriers() {
         return Actions.<RouterOutput>empty()
-                .on(RouterOutput.ToKeeper.class, to -> keeperLoop.offer(to.message()))
+                .on(RouterOutput.ToKeeper.class, this::carryAsk)
                 .on(RouterOutput.StartAttempt.class, endpoints::start)
                 .on(RouterOutput.CancelAttempt.class, endpoints::cancel)
                 .on(RouterOutput.PauseAttempt.class, endpoints::pause)
@@ -267,6 +344,7 @@
     private Actions<KeeperOutput> keeperCarriers() {
         return Actions.<KeeperOutput>empty()
                 .on(KeeperOutput.AppendBatch.class, batch -> accounts.append(batch.records()))
+                .on(KeeperOutput.AskEndpoint.class, this::billInFull)
                 .on(KeeperOutput.Note.class, note -> note(note.event()))
                 .on(KeeperOutput.Stopped.class, done -> keeperStopped.complete(null));
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -22,6 +22,9 @@
     @Option(name = "--boot", metaVar = "FILE", usage = "the platform's boot file")
     private String boot = BootFile.path();
 
+    @Option(name = "--rehearse", usage = "start on loopback, ask a few things and exit")
+    private boolean rehearse;
+
     @Option(name = "--help", aliases = "-h", help = true, usage = "print this and exit")
     private boolean help;
 
@@ -53,11 +56,22 @@
             parser.printUsage(System.out);
         } else if (version) {
             System.out.println(NAME + " " + Build.version());
+        } else if (rehearse) {
+            rehearse();
         } else {
             start();
         }
     }
 
+    private void rehearse() {
+        try {
+            Rehearsal.run(GatewaySettings.read(settings));
+            System.exit(0);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void start() {
         GatewayDaemon daemon =
                 GatewayDaemon.start(
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/Peers.java
@@ -0,0 +1,71 @@
+package org.bramleylatch.gateway;
+
+import io.vertx.core.Vertx;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.platform.Addresses;
+import org.bramleylatch.platform.KeyedPage;
+import org.bramleylatch.platform.StoreClient;
+import org.bramleylatch.wire.Address;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Tells peers where this process listens, and learns where they do. */
+final class Peers {
+    private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
+    private static final long RETRY_MILLIS = 1_000;
+
+    private final Vertx vertx;
+    private final StoreClient store;
+    private final String vm;
+    private final Address self;
+    private final Consumer<Address> found;
+    private final Consumer<RouterInput> inbox;
+    private final Set<String> known = new HashSet<>();
+
+    /**
+     * Makes the list; nothing is told yet.
+     *
+     * @param found gets the address of each peer, also more than once
+     * @param inbox learns how many routers there are
+     */
+    Peers(
+            Vertx vertx,
+            StoreClient store,
+            String vm,
+            Address self,
+            Consumer<Address> found,
+            Consumer<RouterInput> inbox) {
+        this.vertx = vertx;
+        this.store = store;
+        this.vm = vm;
+        this.self = self;
+        this.found = found;
+        this.inbox = inbox;
+        known.add(vm);
+    }
+
+    /** Tells peers where this process listens, again and again until the store has it. */
+    void announce() {
+        store.putPeer(vm, self).exceptionally(this::retry);
+    }
+
+    /** Takes a page of the peers' stream. */
+    void take(KeyedPage page) {
+        page.changes().forEach(change -> known.add(change.key()));
+        inbox.accept(new RouterInput.RoutersKnown(known.size()));
+        page.changes().stream()
+                .flatMap(change -> change.value().stream())
+                .flatMap(text -> Addresses.parse(text).stream())
+                .filter(address -> !address.equals(self))
+                .forEach(found);
+    }
+
+    private Long retry(Throwable failure) {
+        LOG.info("not announced, next try in {} ms: {}", RETRY_MILLIS, failure.getMessage());
+        vertx.setTimer(RETRY_MILLIS, ignored -> announce());
+        return null;
+    }
+}
--- a/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
@@ -25,6 +25,7 @@
 import org.bramleylatch.edge.Incarnations;
 import org.bramleylatch.edge.Ops;
 import org.bramleylatch.edge.PlatformClient;
+import org.bramleylatch.edge.RouterLinks;
 import org.bramleylatch.edge.Servers;
 import org.bramleylatch.edge.TickLoop;
 import org.bramleylatch.edge.Timeline;
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -22,6 +22,7 @@
 import org.bramleylatch.edge.Daemon;
 import org.bramleylatch.edge.HybridClock;
 import org.bramleylatch.edge.Incarnations;
+import org.bramleylatch.edge.KeeperLinks;
 import org.bramleylatch.edge.Ops;
 import org.bramleylatch.edge.PlatformClient;
 import org.bramleylatch.edge.Servers;
@@ -75,7 +76,7 @@
         this.callers = new Callers(clock, settings.mostBodyBytes(), world, loop::offer, metrics);
         this.endpoints =
                 new Endpoints(vertx, platform, callers, world.endpoints()::has, loop::offer);
-        this.keepers = new KeeperLinks(vertx, self, order, settings.keepers(), loop::offer);
+        this.keepers = new KeeperLinks(vertx, self, order, loop::offer);
         this.configuration = new ConfigStream(platform);
         this.carriers = carriers();
     }
@@ -100,7 +101,7 @@
                         newer -> loop.offer(new RouterInput.ConfigurationSeen(newer)),
                         verdict -> {});
         endpoints.begin();
-        keepers.begin();
+        settings.keepers().forEach(keepers::open);
         return () -> stop(following);
     }
 
