--- a/core/src/main/java/org/bramleylatch/core/Incarnation.java
+++ b/core/src/main/java/org/bramleylatch/core/Incarnation.java
@@ -20,11 +20,11 @@
     }
 
     /**
-     * Returns true if the other is an earlier or later run of the same process on the same VM. The
-     * text is the name of the process and its VM, a hyphen, and what is new in each run.
+     * Returns true if the other is another run of the same process on the same VM. The text of such
+     * a run is PROCESS@VM, a hyphen, and what is new in each run.
      */
     public boolean succeeds(Incarnation other) {
-        return !equals(other) && place().equals(other.place());
+        return value.indexOf('@') > 0 && !equals(other) && place().equals(other.place());
     }
 
     private String place() {
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
@@ -0,0 +1,199 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.bramleylatch.core.RouterOutput.DeliverService;
+import org.bramleylatch.core.RouterOutput.DeliverTokens;
+import org.bramleylatch.core.RouterOutput.Refuse;
+import org.bramleylatch.core.RouterOutput.StartAttempt;
+import org.junit.jupiter.api.Test;
+
+class CallSystemTest {
+    private static final String HOST = "ropes.example";
+    private static final Optional<String> KEY = Optional.of("digest");
+    private static final Incarnation LENDER = Incarnation.of("keeper@front-2-1");
+    private static final Incarnation OTHER_LENDER = Incarnation.of("keeper@front-3-1");
+    private static final RouterLimits LIMITS =
+            RouterLimits.standard().withRetries(8, 0, 10_000).withRegistry(100, 2_000);
+
+    private final RouterCase router = new RouterCase(Placement.bySharedPrefix(), LIMITS);
+
+    @Test
+    void aCallIsRefusedAsNotConfiguredUntilAConfigurationWasRead() {
+        router.call(HOST, "/spec/1", KEY, 10, 10);
+        assertThat(refusals()).containsExactly(ResultCode.NOT_CONFIGURED);
+    }
+
+    @Test
+    void theLongestPrefixOfTheHostDecidesTheRoute() {
+        configure(
+                route("all", "/", "seilhelfer", false),
+                route("orders", "/orders/", "ordnerei", true));
+        router.endpoints("ordnerei-1");
+        router.call(HOST, "/orders/7", KEY, 0, 0);
+        assertThat(router.last(StartAttempt.class).map(StartAttempt::endpoint))
+                .contains(EndpointId.of("ordnerei-1"));
+        router.call("other.example", "/orders/7", KEY, 0, 0);
+        assertThat(refusals()).containsExactly(ResultCode.UNKNOWN_ROUTE);
+    }
+
+    @Test
+    void anUnknownKeyIsRefusedAndNoKeyTooUnlessTheRouteIsOpen() {
+        configure(route("orders", "/orders/", "ordnerei", true));
+        router.call(HOST, "/orders/7", Optional.of("revoked"), 0, 0);
+        router.call(HOST, "/orders/7", Optional.empty(), 0, 0);
+        assertThat(refusals())
+                .containsExactly(ResultCode.UNAUTHENTICATED, ResultCode.UNAUTHENTICATED);
+    }
+
+    @Test
+    void aConfigurationNeverGoesBack() {
+        configure(route("orders", "/orders/", "ordnerei", true));
+        router.put(new RouterInput.ConfigurationSeen(new Configuration(6, members(), List.of())));
+        assertThat(router.world.configuration().revision()).isEqualTo(7);
+    }
+
+    @Test
+    void anAttemptThatTheEndpointRefusedIsSentElsewhereAndDoesNotCount() {
+        configure(route("orders", "/orders/", "ordnerei", false));
+        router.endpoints("ordnerei-1", "ordnerei-2");
+        router.call(HOST, "/orders/7", KEY, 0, 0);
+        AttemptId first = router.last(StartAttempt.class).orElseThrow().attempt();
+        router.put(new RouterInput.AttemptFailed(first, RunState.NOT_RUN, "full"));
+        assertThat(router.all(StartAttempt.class)).hasSize(2);
+        assertThat(router.all(Refuse.class)).isEmpty();
+    }
+
+    @Test
+    void aRequestThatMayRunOnceIsNotSentAgainAfterItMayHaveRun() {
+        configure(route("orders", "/orders/", "ordnerei", false));
+        router.endpoints("ordnerei-1", "ordnerei-2");
+        router.call(HOST, "/orders/7", KEY, 0, 0);
+        AttemptId first = router.last(StartAttempt.class).orElseThrow().attempt();
+        router.put(new RouterInput.AttemptFailed(first, RunState.UNKNOWN, "reset"));
+        assertThat(router.all(StartAttempt.class)).hasSize(1);
+        assertThat(router.last(Refuse.class).map(Refuse::ran)).contains(RunState.UNKNOWN);
+    }
+
+    @Test
+    void aFailureOfTheEndpointIsPassedOnOnceRetriesAreUsedUp() {
+        configure(route("stock", "/stock/", "ordnerei", true));
+        router.endpoints("ordnerei-1", "ordnerei-2");
+        router.call(HOST, "/stock/7", KEY, 0, 0);
+        AttemptId first = router.last(StartAttempt.class).orElseThrow().attempt();
+        router.put(new RouterInput.ServiceAnswered(first, 500, "no"));
+        AttemptId second = router.last(StartAttempt.class).orElseThrow().attempt();
+        assertThat(second).isNotEqualTo(first);
+        router.put(new RouterInput.ServiceAnswered(second, 500, "no"));
+        assertThat(router.last(DeliverService.class).map(DeliverService::status)).contains(500);
+    }
+
+    @Test
+    void aBrokenStreamGoesOnAtAnotherEndpoint() {
+        AttemptId first = stream();
+        EndpointId origin = router.last(StartAttempt.class).orElseThrow().endpoint();
+        router.tokens(first, 0);
+        router.put(new RouterInput.AttemptFailed(first, RunState.UNKNOWN, "reset"));
+        StartAttempt second = router.last(StartAttempt.class).orElseThrow();
+        assertThat(second.endpoint()).isNotEqualTo(origin);
+        assertThat(second.position()).isEqualTo(1);
+        router.tokens(second.attempt(), 1);
+        assertThat(router.all(DeliverTokens.class)).hasSize(2);
+    }
+
+    @Test
+    void aRequestThatMayHaveRunIsBilledItsPrompt() {
+        AttemptId first = stream();
+        router.put(new RouterInput.AttemptFailed(first, RunState.UNKNOWN, "reset"));
+        AttemptId second = router.last(StartAttempt.class).orElseThrow().attempt();
+        router.put(new RouterInput.AttemptFailed(second, RunState.UNKNOWN, "reset"));
+        assertThat(router.toKeepers(KeeperInput.UsageGiven.class))
+                .extracting(given -> given.usage().tokens())
+                .containsExactly(100L);
+    }
+
+    @Test
+    void aRequestThatItsKeeperLacksTokensForIsLentThemByAnother() {
+        RequestKey key = lacksTokens(List.of(LENDER, OTHER_LENDER));
+        assertThat(lastAsk().keeper()).isEqualTo(LENDER);
+        router.put(new RouterInput.ReserveRefused(LENDER, key, ResultCode.BUDGET_UNAVAILABLE));
+        assertThat(lastAsk().keeper()).isEqualTo(OTHER_LENDER);
+        GrantKey grant = GrantKey.of(RouterCase.BUDGET, OTHER_LENDER);
+        router.put(new RouterInput.ReserveGranted(OTHER_LENDER, key, grant));
+        assertThat(router.all(StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void aLenderThatIsSilentIsPassedOver() {
+        lacksTokens(List.of(LENDER, OTHER_LENDER));
+        router.advance(LIMITS.lendMillis());
+        assertThat(lastAsk().keeper()).isEqualTo(OTHER_LENDER);
+        router.advance(LIMITS.lendMillis());
+        assertThat(refusals()).containsExactly(ResultCode.BUDGET_UNAVAILABLE);
+    }
+
+    private AttemptId stream() {
+        configure(route("chat", "/chat/", "seilhelfer", true));
+        router.endpoints("engine-1", "engine-2");
+        router.put(new RouterInput.KeeperBeside(RouterCase.KEEPER));
+        router.call(HOST, "/chat/7", KEY, 100, 50);
+        router.put(new RouterInput.ReserveGranted(RouterCase.KEEPER, lastKey(), RouterCase.GRANT));
+        return router.last(StartAttempt.class).orElseThrow().attempt();
+    }
+
+    private RequestKey lacksTokens(List<Incarnation> lenders) {
+        configure(route("chat", "/chat/", "seilhelfer", true));
+        router.endpoints("engine-1");
+        router.put(new RouterInput.KeeperBeside(RouterCase.KEEPER));
+        lenders.forEach(lender -> router.put(new RouterInput.KeeperUp(lender)));
+        router.call(HOST, "/chat/7", KEY, 100, 50);
+        RequestKey key = lastKey();
+        router.put(
+                new RouterInput.ReserveRefused(
+                        RouterCase.KEEPER, key, ResultCode.BUDGET_UNAVAILABLE, lenders));
+        return key;
+    }
+
+    private RequestKey lastKey() {
+        List<KeeperInput.ReserveAsked> asks = router.toKeepers(KeeperInput.ReserveAsked.class);
+        return asks.get(asks.size() - 1).key();
+    }
+
+    private RouterOutput.ToKeeper lastAsk() {
+        return router.all(RouterOutput.ToKeeper.class).stream()
+                .filter(to -> to.message() instanceof KeeperInput.ReserveAsked)
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
+    private List<ResultCode> refusals() {
+        return router.all(Refuse.class).stream().map(Refuse::code).toList();
+    }
+
+    private void configure(RouteRow... routes) {
+        router.put(
+                new RouterInput.ConfigurationSeen(
+                        new Configuration(7, members(), List.of(routes))));
+    }
+
+    private static List<MemberRow> members() {
+        return List.of(new MemberRow("digest", RouterCase.BUDGET, "workspace"));
+    }
+
+    private static RouteRow route(String name, String prefix, String backEnd, boolean repeatable) {
+        RouteTerms terms =
+                new RouteTerms(
+                        Optional.of(HOST), false, false, true, true, 2, 0, 0, 400, List.of());
+        return new RouteRow(
+                RouteName.of(name),
+                backEnd.equals("ordnerei") ? RouteKind.SERVICE : RouteKind.CHAT,
+                prefix,
+                backEnd,
+                repeatable,
+                0,
+                List.of(),
+                Optional.of(terms));
+    }
+}
--- a/core/src/test/java/org/bramleylatch/core/KeeperCase.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperCase.java
@@ -15,9 +15,8 @@
     private static final Incarnation OPERATOR = Incarnation.of("operator");
     private static final long START_MILLIS = 1_700_000_000_000L;
 
-    final KeeperWorld world = KeeperWorld.of(KEEPER);
-    private final Schedule<KeeperWorld> schedule =
-            KeeperSystems.schedule(GrantPolicy.byDemand(0, 1), KeeperLimits.standard());
+    final KeeperWorld world;
+    private final Schedule<KeeperWorld> schedule;
     private final List<KeeperOutput> outputs = new ArrayList<>();
     private final List<LogEntry> log = new ArrayList<>();
     private boolean answering = true;
@@ -26,10 +25,17 @@
 
     /** Starts with a budget that the given tokens were paid into. */
     KeeperCase(long paidTokens) {
+        this(KEEPER, GrantPolicy.byDemand(0, 1), KeeperLimits.standard());
         operate(new LedgerRecord.BudgetCreated(BUDGET, "workspace"));
         operate(new LedgerRecord.BudgetToppedUp(BUDGET, key(0), paidTokens));
     }
 
+    /** Starts without a budget. */
+    KeeperCase(Incarnation keeper, GrantPolicy policy, KeeperLimits limits) {
+        world = KeeperWorld.of(keeper);
+        schedule = KeeperSystems.schedule(policy, limits);
+    }
+
     void reserve(Incarnation router, RequestKey key, long tokens) {
         put(new KeeperInput.ReserveAsked(router, key, BUDGET, tokens));
     }
@@ -90,7 +96,7 @@
                     .filter(KeeperOutput.AppendBatch.class::isInstance)
                     .map(KeeperOutput.AppendBatch.class::cast)
                     .filter(batch -> answering)
-                    .forEach(batch -> append(KEEPER, batch.records()));
+                    .forEach(batch -> append(world.self(), batch.records()));
         } while (!world.inbox().isEmpty());
     }
 
@@ -103,7 +109,7 @@
             fresh.add(entry);
         }
         world.inbox().add(new KeeperInput.FromLog(new LedgerFeed.EntriesRead(fresh)));
-        if (!writer.equals(KEEPER)) {
+        if (!writer.equals(world.self())) {
             tick();
         }
     }
--- a/core/src/test/java/org/bramleylatch/core/LedgerFoldTest.java
+++ b/core/src/test/java/org/bramleylatch/core/LedgerFoldTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.bramleylatch.core.LedgerRecord.BudgetCreated;
+import org.bramleylatch.core.LedgerRecord.BudgetFunded;
 import org.bramleylatch.core.LedgerRecord.BudgetToppedUp;
 import org.bramleylatch.core.LedgerRecord.FrozenReleased;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
@@ -13,6 +14,7 @@
 import org.bramleylatch.core.LedgerRecord.IntentDeclared;
 import org.bramleylatch.core.LedgerRecord.IntentFinished;
 import org.bramleylatch.core.LedgerRecord.UsageReported;
+import org.bramleylatch.core.LedgerRecord.UsageSummed;
 import org.junit.jupiter.api.Test;
 
 class LedgerFoldTest {
@@ -34,6 +36,24 @@
         assertThat(budget().freeTokens()).isZero();
     }
 
+    @Test
+    void aSmallerTotalOfFundsChangesNothing() {
+        write(new BudgetFunded(BUDGET, 100));
+        assertThat(write(new BudgetFunded(BUDGET, 80))).contains(ResultCode.TOP_UP_REPEATED);
+        assertThat(budget().paidTokens()).isEqualTo(100);
+    }
+
+    @Test
+    void aSumOfUsageThatIsMoreThanItsGrantIsRefused() {
+        write(new BudgetFunded(BUDGET, 100));
+        write(new GrantAsked(BUDGET, KEEPER, 50, 0, 0));
+        assertThat(write(new UsageSummed(BUDGET, KEEPER, 60)))
+                .contains(ResultCode.USAGE_OVER_GRANT);
+        assertThat(write(new UsageSummed(BUDGET, KEEPER, 20))).isEmpty();
+        assertThat(budget().settledTokens()).isEqualTo(20);
+        assertThat(budget().balances()).isTrue();
+    }
+
     @Test
     void whatWaitsGetsWhatAnotherReturns() {
         paid(100);
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/RegistryViewTest.java
@@ -0,0 +1,60 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class RegistryViewTest {
+    private static final long SETTLE_MILLIS = 2_000;
+    private static final EndpointId ENGINE = EndpointId.of("engine-1");
+
+    private final RouterCase router =
+            new RouterCase(
+                    Placement.bySharedPrefix(),
+                    RouterLimits.standard().withRegistry(100, SETTLE_MILLIS));
+
+    @Test
+    void anEndpointThatTheRegistryDropsIsGoneAtOnce() {
+        listed();
+        router.put(new RouterInput.EndpointWithdrawn(ENGINE));
+        assertThat(router.world.endpoints().has(ENGINE)).isFalse();
+    }
+
+    @Test
+    void anEndpointThatIsMissingRightAfterTheRegistrysReturnHasTimeToComeBack() {
+        listed();
+        outage();
+        router.put(new RouterInput.EndpointWithdrawn(ENGINE));
+        assertThat(router.world.endpoints().has(ENGINE)).isTrue();
+        router.put(new RouterInput.EndpointAnnounced(RouterCase.endpoint("engine-1")));
+        router.advance(2 * SETTLE_MILLIS);
+        assertThat(router.world.endpoints().has(ENGINE)).isTrue();
+    }
+
+    @Test
+    void anEndpointThatIsStillMissingAfterThatIsGone() {
+        listed();
+        outage();
+        router.put(new RouterInput.EndpointWithdrawn(ENGINE));
+        router.advance(SETTLE_MILLIS);
+        assertThat(router.world.endpoints().has(ENGINE)).isFalse();
+    }
+
+    @Test
+    void anEndpointWhoseAddressAnotherOneHasIsGone() {
+        listed();
+        router.put(new RouterInput.EndpointReplaced(ENGINE));
+        assertThat(router.world.endpoints().has(ENGINE)).isFalse();
+    }
+
+    private void listed() {
+        router.put(new RouterInput.RegistrySeen(true));
+        router.put(new RouterInput.EndpointAnnounced(RouterCase.endpoint("engine-1")));
+        router.advance(2 * SETTLE_MILLIS);
+    }
+
+    private void outage() {
+        router.put(new RouterInput.RegistrySeen(false));
+        router.put(new RouterInput.RegistrySeen(true));
+    }
+}
--- a/core/src/test/java/org/bramleylatch/core/RouterCase.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterCase.java
@@ -25,13 +25,17 @@
     private static final long TIMEOUT_MILLIS = 60_000;
 
     final RouterWorld world;
-    private final Schedule<RouterWorld> schedule =
-            RouterSystems.schedule(Placement.byAffinity(), RouterLimits.standard());
+    private final Schedule<RouterWorld> schedule;
     private final List<RouterOutput> outputs = new ArrayList<>();
     private long nowMillis = 1_700_000_000_000L;
     private long count;
 
     RouterCase() {
+        this(Placement.byAffinity(), RouterLimits.standard());
+    }
+
+    RouterCase(Placement placement, RouterLimits limits) {
+        schedule = RouterSystems.schedule(placement, limits);
         world = RouterWorld.of(Incarnation.of("router"), ZONE, this::nextAttempt);
         put(new RouterInput.KeeperUp(KEEPER));
     }
@@ -66,6 +70,27 @@
         return key;
     }
 
+    /** Lets a call arrive whose route and payer the configuration names. */
+    RequestId call(String host, String path, Optional<String> keySha256, long prompt, long most) {
+        count++;
+        RequestId id = RequestId.of("request-" + count);
+        put(
+                new RouterInput.CallArrived(
+                        new Call(
+                                id,
+                                RequestKey.of(nowMillis, count),
+                                host,
+                                path,
+                                keySha256,
+                                prompt,
+                                most,
+                                0,
+                                0,
+                                nowMillis,
+                                TIMEOUT_MILLIS)));
+        return id;
+    }
+
     /** Lets a chat arrive, sets its tokens aside and returns its running attempt. */
     AttemptId running(long promptTokens, long mostTokens) {
         RequestKey key = arrive(CHAT, promptTokens, mostTokens);
--- /dev/null
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
@@ -0,0 +1,266 @@
+package org.bramleylatch.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.RequestOptions;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.bramleylatch.core.Zone;
+import org.bramleylatch.edge.MonotonicClock;
+import org.bramleylatch.platform.BootFile;
+import org.bramleylatch.platform.Bounds;
+import org.bramleylatch.wire.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Runs a whole gateway on loopback between a caller, stand-in endpoints and a stand-in store. */
+class GatewayTest {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final long DEADLINE_SECONDS = 20;
+    private static final String CONFIG =
+            """
+            {"version": 1,
+             "routes": [
+              {"name": "chat", "host": "ropes.example", "pathPrefix": "/chat/",
+               "kind": "streaming", "service": "llm", "maxAttempts": 2, "resumable": true,
+               "sticky": true, "timeoutMs": 15000, "targetLatencyMs": 400},
+              {"name": "orders", "host": "ropes.example", "pathPrefix": "/orders/",
+               "kind": "unsafe", "service": "app", "maxAttempts": 2, "timeoutMs": 15000,
+               "targetLatencyMs": 400}],
+             "services": [{"name": "llm", "engine": {"kvCapacity": 100000, "stride": 4}}],
+             "tenants": [{"name": "ropes", "apiKeys": ["secret"], "prepaid": 100000}]}
+            """;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final List<HttpServerRequest> seen = new CopyOnWriteArrayList<>();
+    private StoreStandin store;
+    private GatewayDaemon gateway;
+
+    @BeforeEach
+    void start() throws Exception {
+        store = new StoreStandin(vertx);
+        Address any = new Address(LOOPBACK, 0);
+        BootFile boot =
+                new BootFile(
+                        "front-1",
+                        Zone.of("langnau"),
+                        any,
+                        any,
+                        any,
+                        store.address(),
+                        300_000,
+                        new Bounds(8_000, 200, 56, 10_000));
+        gateway =
+                GatewayDaemon.start(
+                                MonotonicClock.system(),
+                                boot,
+                                GatewaySettings.read("../deploy/gateway.json"))
+                        .join();
+    }
+
+    @AfterEach
+    void stop() {
+        vertx.close();
+    }
+
+    @Test
+    void aCallerIsToldThatNothingRanAndWhenToComeBackBeforeAConfigurationIsKnown()
+            throws Exception {
+        Answer answer = call("/chat/1", "secret");
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.header("retry-after")).isNotEmpty();
+        assertThat(answer.header("server-seal")).isEmpty();
+    }
+
+    @Test
+    void aStreamReachesItsCallerWholeWithTheSignatureOfItsEndpoint() throws Exception {
+        endpoint("llm", "i-1", (request, count) -> events(request, 1, 3));
+        ready();
+        Answer answer = call("/chat/1", "secret");
+        assertThat(answer.body()).isEqualTo(event(1) + event(2) + event(3));
+        assertThat(answer.header("server-seal")).isEqualTo("seal-1");
+    }
+
+    @Test
+    void theEndpointLearnsWhoPaysAndNotWithWhichKey() throws Exception {
+        endpoint("app", "i-1", (request, count) -> sealed(request).end("done"));
+        ready();
+        assertThat(call("/orders/1", "secret").body()).isEqualTo("done");
+        assertThat(seen.get(0).getHeader("tenant")).isEqualTo("ropes");
+        assertThat(seen.get(0).getHeader("x-api-key")).isNull();
+        assertThat(seen.get(0).getHeader("expect-instance")).isEqualTo("i-1");
+        assertThat(seen.get(0).uri()).isEqualTo("/orders/1?q=%20");
+    }
+
+    @Test
+    void anUnknownKeyIsRefusedAndReachesNoEndpoint() throws Exception {
+        endpoint("app", "i-1", (request, count) -> sealed(request).end("done"));
+        ready();
+        assertThat(call("/orders/1", "stolen").status()).isEqualTo(401);
+        assertThat(seen).isEmpty();
+    }
+
+    @Test
+    void theAnswerToAnotherRequestNeverReachesTheCaller() throws Exception {
+        endpoint(
+                "app",
+                "i-1",
+                (request, count) ->
+                        request.response()
+                                .putHeader("request-id", "another")
+                                .putHeader("server-seal", "seal-1")
+                                .end("not yours"));
+        ready();
+        Answer answer = call("/orders/1", "secret");
+        assertThat(answer.status()).isEqualTo(502);
+        assertThat(answer.body()).doesNotContain("not yours");
+        assertThat(seen).hasSize(1);
+    }
+
+    @Test
+    void aStreamThatBreaksGoesOnAtAnotherEndpointBehindItsLastEvent() throws Exception {
+        BiConsumer<HttpServerRequest, Integer> breaks =
+                (request, count) -> {
+                    if (count == 1) {
+                        sealed(request).putHeader("content-type", "text/event-stream");
+                        request.response().setChunked(true).write(event(1) + "id: 2\nda");
+                        vertx.setTimer(50, ignored -> request.connection().close());
+                    } else {
+                        events(
+                                request,
+                                Integer.parseInt(request.getHeader("last-event-id")) + 1,
+                                3);
+                    }
+                };
+        endpoint("llm", "i-1", breaks);
+        endpoint("llm", "i-2", breaks);
+        ready();
+        assertThat(call("/chat/1", "secret").body()).isEqualTo(event(1) + event(2) + event(3));
+        assertThat(seen).hasSize(2);
+    }
+
+    @Test
+    void aStreamThatEndsWhileTheGatewayStopsIsWhole() throws Exception {
+        endpoint(
+                "llm",
+                "i-1",
+                (request, count) -> {
+                    sealed(request).putHeader("content-type", "text/event-stream");
+                    request.response().setChunked(true).write(event(1));
+                    gateway.stop();
+                    vertx.setTimer(300, ignored -> request.response().end(event(2)));
+                });
+        ready();
+        assertThat(call("/chat/1", "secret").body()).isEqualTo(event(1) + event(2));
+    }
+
+    private void ready() throws Exception {
+        store.put("keyed.op", "config", CONFIG);
+        int port = gateway.ports().get(1);
+        while (get(port, "/ready").status() != 200) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        while (call("/nowhere", "secret").status() == 503) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private void endpoint(
+            String service, String id, BiConsumer<HttpServerRequest, Integer> behaviour)
+            throws Exception {
+        HttpServer server =
+                vertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    seen.add(request);
+                                    behaviour.accept(request, seen.size());
+                                })
+                        .listen(0, LOOPBACK)
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get(DEADLINE_SECONDS, TimeUnit.SECONDS);
+        store.put(
+                "keyed.servers",
+                id,
+                "{\"service\":\""
+                        + service
+                        + "\",\"address\":\"127.0.0.1:"
+                        + server.actualPort()
+                        + "\",\"zone\":\"langnau\",\"version\":\"v1\",\"slots\":4,"
+                        + "\"state\":\"ready\",\"seq\":1}");
+    }
+
+    private static HttpServerResponse sealed(HttpServerRequest request) {
+        return request.response()
+                .putHeader("request-id", request.getHeader("request-id"))
+                .putHeader("server-seal", "seal-1");
+    }
+
+    private static void events(HttpServerRequest request, int first, int last) {
+        StringBuilder body = new StringBuilder();
+        for (int id = first; id <= last; id++) {
+            body.append(event(id));
+        }
+        sealed(request).putHeader("content-type", "text/event-stream").end(body.toString());
+    }
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: word\n\n";
+    }
+
+    private Answer call(String path, String key) throws Exception {
+        RequestOptions options =
+                new RequestOptions()
+                        .setHost(LOOPBACK)
+                        .setPort(gateway.ports().get(0))
+                        .setMethod(HttpMethod.POST)
+                        .setURI(path + "?q=%20")
+                        .putHeader("host", "ropes.example")
+                        .putHeader("request-id", "request-1")
+                        .putHeader("deadline-ms", "10000")
+                        .putHeader("token-counts", "100,50")
+                        .putHeader("x-api-key", key);
+        return send(options);
+    }
+
+    private Answer get(int port, String path) throws Exception {
+        return send(
+                new RequestOptions()
+                        .setHost(LOOPBACK)
+                        .setPort(port)
+                        .setMethod(HttpMethod.GET)
+                        .setURI(path));
+    }
+
+    private Answer send(RequestOptions options) throws Exception {
+        return vertx.createHttpClient()
+                .request(options)
+                .compose(request -> request.send(Buffer.buffer("body")))
+                .compose(response -> response.body().map(body -> Answer.of(response, body)))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(DEADLINE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private record Answer(HttpClientResponse head, int status, String body) {
+
+        static Answer of(HttpClientResponse head, Buffer body) {
+            return new Answer(head, head.statusCode(), body.toString());
+        }
+
+        String header(String name) {
+            String value = head.getHeader(name);
+            return value == null ? "" : value;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/bramleylatch/gateway/StoreStandin.java
@@ -0,0 +1,117 @@
+package org.bramleylatch.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.bramleylatch.wire.Address;
+
+/** Stands in for the platform's store on loopback: topics of one partition, kept without end. */
+final class StoreStandin {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int LENGTH_BYTES = 4;
+    private static final long POLL_MILLIS = 10;
+
+    private final Vertx vertx;
+    private final Map<String, List<Buffer>> topics = new HashMap<>();
+    private final HttpServer server;
+
+    StoreStandin(Vertx vertx) throws Exception {
+        this.vertx = vertx;
+        this.server =
+                vertx.createHttpServer()
+                        .requestHandler(this::handle)
+                        .listen(0, LOOPBACK)
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get(5, TimeUnit.SECONDS);
+    }
+
+    Address address() {
+        return new Address(LOOPBACK, server.actualPort());
+    }
+
+    /** Writes the newest value of a key of the operator's or the endpoints' topic. */
+    synchronized void put(String topic, String key, String value) {
+        byte[] bytes = key.getBytes(StandardCharsets.UTF_8);
+        records(topic)
+                .add(
+                        Buffer.buffer()
+                                .appendByte((byte) bytes.length)
+                                .appendBytes(bytes)
+                                .appendString(value));
+    }
+
+    private void handle(HttpServerRequest request) {
+        request.body().onSuccess(body -> handle(request, body));
+    }
+
+    private void handle(HttpServerRequest request, Buffer body) {
+        String topic = request.getParam("topic");
+        switch (request.path()) {
+            case "/log-append" -> append(request, topic, body);
+            case "/log-read" -> read(request, topic, Long.parseLong(request.getParam("from")));
+            case "/log-newest" -> newest(request, topic);
+            default -> request.response().setStatusCode(404).end();
+        }
+    }
+
+    private synchronized void append(HttpServerRequest request, String topic, Buffer body) {
+        long offset = records(topic).size();
+        int position = 0;
+        while (position < body.length()) {
+            int start = position + LENGTH_BYTES;
+            int end = start + body.getInt(position);
+            records(topic).add(body.getBuffer(start, end));
+            position = end;
+        }
+        request.response().end("{\"offset\":" + offset + "}");
+    }
+
+    private synchronized void read(HttpServerRequest request, String topic, long from) {
+        List<Buffer> records = records(topic);
+        if (records.size() <= from && request.getParam("waitMs") != null) {
+            vertx.setTimer(POLL_MILLIS, ignored -> read(request, topic, from));
+            return;
+        }
+        Buffer page = Buffer.buffer().appendLong(records.size()).appendLong(0);
+        records.subList((int) Math.min(from, records.size()), records.size())
+                .forEach(record -> page.appendInt(record.length()).appendBuffer(record));
+        request.response().end(page);
+    }
+
+    private synchronized void newest(HttpServerRequest request, String topic) {
+        Map<String, String> values = new LinkedHashMap<>();
+        for (Buffer record : records(topic)) {
+            int start = 1 + record.getByte(0);
+            String value =
+                    Base64.getEncoder().encodeToString(record.getBytes(start, record.length()));
+            values.put(record.getString(1, start), value);
+        }
+        String items =
+                values.entrySet().stream()
+                        .map(
+                                e ->
+                                        "{\"key\":\""
+                                                + e.getKey()
+                                                + "\",\"value\":\""
+                                                + e.getValue()
+                                                + "\"}")
+                        .collect(Collectors.joining(","));
+        String end = "],\"hasMore\":false,\"endOffset\":" + records(topic).size() + "}";
+        request.response().end("{\"items\":[" + items + end);
+    }
+
+    private List<Buffer> records(String topic) {
+        return topics.computeIfAbsent(topic, name -> new ArrayList<>());
+    }
+}
