--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -118,12 +118,7 @@
                 new RouterOutput.ToKeeper(
                         keeper.get(),
                         new KeeperInput.ReserveAsked(
-                                world.self(),
-                                spec.key(),
-                                spec.budget(),
-                                spec.billableTokens(),
-                                false,
-                                spec.isUrgent())));
+                                world.self(), spec.key(), spec.budget(), spec.billableTokens())));
     }
 
     private Optional<ResultCode> refusal(RequestSpec spec) {
--- a/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
@@ -6,15 +6,10 @@
  * @param horizonHours for how long a holder should be able to serve while cut off
  * @param smallestTokens the smallest amount worth asking for
  * @param lowWatermark the part of its target below which a holder asks for more
- * @param heldShare the part of what can still be spent that all holders may hold together
  * @param highWatermark the multiple of its target above which a holder gives back
  */
 record DemandGrantPolicy(
-        double horizonHours,
-        long smallestTokens,
-        double lowWatermark,
-        double highWatermark,
-        double heldShare)
+        double horizonHours, long smallestTokens, double lowWatermark, double highWatermark)
         implements GrantPolicy {
     @Override
     public GrantPlan plan(GrantView view) {
@@ -34,8 +29,7 @@
 
     private long targetTokens(GrantView view) {
         double own = Math.max(1, view.demandTokensPerHour());
-        double share =
-                view.spendableTokens() * heldShare * own / (own + view.demandOfOthersPerHour());
+        double share = view.spendableTokens() * own / (own + view.demandOfOthersPerHour());
         double horizon = view.demandTokensPerHour() * horizonHours + smallestTokens;
         return (long) Math.max(0, Math.min(share, horizon));
     }
--- a/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
@@ -19,12 +19,6 @@
     /** The same where what a holder has when it dies is lost to all others. */
     double LITTLE_MORE = 1.3;
 
-    /** Every holder together may hold all that can still be spent. */
-    double ALL = 1;
-
-    /** Thousandths of the whole. */
-    double PERMILLE = 1_000;
-
     /** The same where grants last for seconds and the log may be away for most of them. */
     double MOST = 0.8;
 
@@ -33,16 +27,10 @@
      *
      * @param horizonMillis how long a full grant lasts at the forecast demand
      * @param smallestTokens what is held beyond that, and the least that is worth asking for
-     * @param mostHeldPermille the part of what can still be spent that all holders may hold
-     *     together, in thousandths; what is held is lost if all of them lose power
      */
-    static GrantPolicy bySeconds(long horizonMillis, long smallestTokens, int mostHeldPermille) {
+    static GrantPolicy bySeconds(long horizonMillis, long smallestTokens) {
         return new DemandGrantPolicy(
-                horizonMillis / MILLIS_PER_HOUR,
-                smallestTokens,
-                MOST,
-                LITTLE_MORE,
-                mostHeldPermille / PERMILLE);
+                horizonMillis / MILLIS_PER_HOUR, smallestTokens, MOST, LITTLE_MORE);
     }
 
     /**
@@ -53,7 +41,7 @@
      * @param smallestTokens the smallest amount worth asking for
      */
     static GrantPolicy byDemand(double horizonHours, long smallestTokens) {
-        return new DemandGrantPolicy(horizonHours, smallestTokens, HALF, TWICE, ALL);
+        return new DemandGrantPolicy(horizonHours, smallestTokens, HALF, TWICE);
     }
 
     /**
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -87,8 +87,7 @@
         }
 
         private static ReservationRow row(ReserveAsked ask) {
-            return ReservationRow.of(
-                    ask.key(), ask.router(), ask.budget(), ask.tokens(), ask.urgent());
+            return ReservationRow.of(ask.key(), ask.router(), ask.budget(), ask.tokens());
         }
 
         /** Sets tokens aside for a router whose own keeper lacks them, if there are enough. */
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -11,20 +11,14 @@
      *
      * @param borrowed true if the router's own keeper lacks them, so that the answer must come at
      *     once
-     * @param urgent true if it may have the last tokens of its budget
      */
     record ReserveAsked(
-            Incarnation router,
-            RequestKey key,
-            BudgetId budget,
-            long tokens,
-            boolean borrowed,
-            boolean urgent)
+            Incarnation router, RequestKey key, BudgetId budget, long tokens, boolean borrowed)
             implements KeeperInput {
 
         /** Returns the ask of a router whose own keeper this is. */
         public ReserveAsked(Incarnation router, RequestKey key, BudgetId budget, long tokens) {
-            this(router, key, budget, tokens, false, true);
+            this(router, key, budget, tokens, false);
         }
     }
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -14,7 +14,6 @@
  * @param mostRecords the most records in one append
  * @param snapshotEveryRecords how many records lie between two snapshots at the most
  * @param demandHalfLifeMillis how fast the forecast of a budget's demand forgets
- * @param urgentReservePermille the part of what was paid that is kept for urgent requests
  * @param waitsForLog true if a request that lacks tokens waits also while the log is away
  * @param usageSummed true if usage is billed in sums, where no other process bills it too
  * @param snapshotEveryMillis how much time lies between two snapshots at the most
@@ -32,7 +31,6 @@
         int snapshotEveryRecords,
         long snapshotEveryMillis,
         long demandHalfLifeMillis,
-        int urgentReservePermille,
         boolean waitsForLog,
         boolean usageSummed) {
     private static final long DEMAND_HALF_LIFE_MILLIS = 10 * 60 * 1_000L;
@@ -83,7 +81,6 @@
                 20_000,
                 600_000,
                 DEMAND_HALF_LIFE_MILLIS,
-                0,
                 true,
                 false);
     }
@@ -103,7 +100,6 @@
                 records,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
-                urgentReservePermille,
                 waitsForLog,
                 usageSummed);
     }
@@ -123,7 +119,6 @@
                 snapshotEveryRecords,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
-                urgentReservePermille,
                 waitsForLog,
                 usageSummed);
     }
@@ -132,9 +127,8 @@
      * Returns the limits of a keeper that shares its process with the only router it serves.
      *
      * @param keepMillis how long the log keeps its records
-     * @param urgentReservePermille the part of what was paid that is kept for urgent requests
      */
-    public static KeeperLimits besideRouter(long keepMillis, int urgentReservePermille) {
+    public static KeeperLimits besideRouter(long keepMillis) {
         return new KeeperLimits(
                 RESERVE_WAIT_MILLIS,
                 INTENT_WAIT_MILLIS,
@@ -148,7 +142,6 @@
                 SNAPSHOT_EVERY_RECORDS,
                 Math.min(SNAPSHOT_EVERY_MILLIS, keepMillis / SNAPSHOTS_KEPT),
                 FORECAST_HALF_LIFE_MILLIS,
-                urgentReservePermille,
                 false,
                 true);
     }
--- a/core/src/main/java/org/bramleylatch/core/Lending.java
+++ b/core/src/main/java/org/bramleylatch/core/Lending.java
@@ -52,8 +52,7 @@
                                 spec.key(),
                                 spec.budget(),
                                 spec.billableTokens(),
-                                true,
-                                spec.isUrgent())));
+                                true)));
     }
 
     private static void rest(
--- a/core/src/main/java/org/bramleylatch/core/RequestSpec.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestSpec.java
@@ -64,11 +64,6 @@
         return route.backEndFor(key);
     }
 
-    /** Returns true if the request may have the last tokens of its budget. */
-    public boolean isUrgent() {
-        return route.terms().priority() == 0;
-    }
-
     /** Returns the tokens that a budget must have for the request; 0 if none pays. */
     public long billableTokens() {
         return traits.metered() ? worstCaseTokens() : 0;
--- a/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
@@ -8,8 +8,6 @@
     /** So many round trips to others still fit into a caller's target. */
     private static final int MOST_LENDERS = 8;
 
-    private static final long WHOLE_PERMILLE = 1_000;
-
     private static final Comparator<ReservationRow> BY_AGE =
             Comparator.<ReservationRow>comparingLong(row -> row.key().issuedMillis())
                     .thenComparing(row -> row.key().toString());
@@ -26,11 +24,8 @@
 
     /** Refuses the request and tells whether the budget is used up or just not at hand. */
     static void refuse(KeeperWorld world, ReservationRow row) {
-        refuse(world, row, reason(world, row), lenders(world, row));
-    }
-
-    private static void refuse(
-            KeeperWorld world, ReservationRow row, ResultCode code, List<Incarnation> lenders) {
+        ResultCode code = reason(world, row);
+        List<Incarnation> lenders = lenders(world, row);
         Reservations.drop(world, row.key());
         world.outbox().add(new KeeperOutput.ReserveRefused(row.router(), row.key(), code, lenders));
         world.note(
@@ -52,28 +47,13 @@
     }
 
     private void serve(KeeperWorld world, ReservationRow row) {
-        if (!row.urgent() && !leavesReserve(world, row)) {
-            refuse(world, row, ResultCode.BUDGET_UNAVAILABLE, List.of());
-        } else if (world.availableTokens(row.budget()) >= row.tokens()) {
+        if (world.availableTokens(row.budget()) >= row.tokens()) {
             grant(world, row);
         } else if (isHopeless(world, row) || reason(world, row) != ResultCode.BUDGET_UNAVAILABLE) {
             refuse(world, row);
         }
     }
 
-    /**
-     * The last tokens of a budget that nobody holds are kept for its urgent requests; what is held
-     * may be lost with its holder.
-     */
-    private boolean leavesReserve(KeeperWorld world, ReservationRow row) {
-        return world.ledger().budgets().find(row.budget()).map(this::hasReserve).orElse(true);
-    }
-
-    private boolean hasReserve(BudgetRow budget) {
-        long reserve = budget.paidTokens() * limits.urgentReservePermille() / WHOLE_PERMILLE;
-        return reserve == 0 || budget.freeTokens() >= reserve;
-    }
-
     /** Nothing comes in time if the log is away, or if others hold all that is left. */
     private boolean isHopeless(KeeperWorld world, ReservationRow row) {
         return !limits.waitsForLog()
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -138,10 +138,8 @@
                         KeeperSystems.schedule(
                                 GrantPolicy.bySeconds(
                                         settings.grantHorizonMillis(),
-                                        settings.smallestGrantTokens(),
-                                        settings.mostHeldPermille()),
-                                KeeperLimits.besideRouter(
-                                        boot.keepMillis(), settings.urgentReservePermille())),
+                                        settings.smallestGrantTokens()),
+                                KeeperLimits.besideRouter(boot.keepMillis())),
                         this::carry);
         this.store = new StoreClient(vertx, boot.store(), clock);
         this.operator = new OperatorFeed(routerLoop::offer, keeperLoop::offer);
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewaySettings.java
@@ -15,10 +15,6 @@
  *
  * @param grantHorizonMillis how long a full grant lasts at the forecast demand
  * @param smallestGrantTokens what is held of a budget beyond that
- * @param mostHeldPermille the part of what can still be spent of a budget that all routers may hold
- *     together, in thousandths; less loses less when all lose power, more serves longer in a cut
- * @param urgentReservePermille the part of a budget that is kept for its urgent requests, in
- *     thousandths of what was paid; 0 keeps none
  * @param logLinesPerSecond the most lines of the event log in a second
  * @param storeWaitMillis how long a read of the store waits for news
  * @param ledgerPauseMillis how long news of the ledger gather before they are read
@@ -26,8 +22,6 @@
 public record GatewaySettings(
         long grantHorizonMillis,
         long smallestGrantTokens,
-        int mostHeldPermille,
-        int urgentReservePermille,
         int logLinesPerSecond,
         long storeWaitMillis,
         long ledgerPauseMillis) {
@@ -35,8 +29,6 @@
             Set.of(
                     "grantHorizonMillis",
                     "smallestGrantTokens",
-                    "mostHeldPermille",
-                    "urgentReservePermille",
                     "logLinesPerSecond",
                     "storeWaitMillis",
                     "ledgerPauseMillis");
@@ -58,8 +50,6 @@
         return new GatewaySettings(
                 positive(source, root, "grantHorizonMillis"),
                 positive(source, root, "smallestGrantTokens"),
-                (int) positive(source, root, "mostHeldPermille"),
-                (int) natural(source, root, "urgentReservePermille"),
                 (int) positive(source, root, "logLinesPerSecond"),
                 positive(source, root, "storeWaitMillis"),
                 positive(source, root, "ledgerPauseMillis"));
@@ -79,17 +69,9 @@
     }
 
     private static long positive(String source, JsonNode root, String field) {
-        long value = natural(source, root, field);
-        if (value == 0) {
-            throw invalid(source, field + ": a positive whole number is needed");
-        }
-        return value;
-    }
-
-    private static long natural(String source, JsonNode root, String field) {
         JsonNode value = root.path(field);
-        if (!value.isIntegralNumber() || !value.canConvertToInt() || value.asInt() < 0) {
-            throw invalid(source, field + ": a whole number is needed, not below 0");
+        if (!value.isIntegralNumber() || !value.canConvertToInt() || value.asInt() <= 0) {
+            throw invalid(source, field + ": a positive whole number is needed");
         }
         return value.asLong();
     }
