--- a/core/src/main/java/org/bramleylatch/core/AdminWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/AdminWorld.java
@@ -62,6 +62,7 @@
                 .on(LedgerFeed.EntriesRead.class, this::read)
                 .on(LedgerFeed.SnapshotLoaded.class, this::load)
                 .on(LedgerFeed.AppendDone.class, this::acknowledge)
+                .on(LedgerFeed.CaughtUp.class, caughtUp -> true)
                 .on(LedgerFeed.LogSeen.class, LedgerFeed.LogSeen::reachable);
     }
 
@@ -108,6 +109,8 @@
     }
 
     private void append(long nowMillis, KeeperLimits limits) {
-        writer.takeDue(nowMillis, limits).map(AdminOutput.AppendBatch::new).ifPresent(outbox::add);
+        writer.takeDue(nowMillis, limits, Optional::empty)
+                .map(AdminOutput.AppendBatch::new)
+                .ifPresent(outbox::add);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/AppendSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/AppendSystem.java
@@ -1,16 +1,24 @@
 package org.bramleylatch.core;
 
+import java.util.Optional;
+
 /** Sends what the keeper has queued for the log. */
 record AppendSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
         world.writer()
-                .takeDue(nowMillis, limits)
+                .takeDue(nowMillis, limits, () -> head(world, nowMillis))
                 .map(KeeperOutput.AppendBatch::new)
                 .ifPresent(world.outbox()::add);
         world.writer()
                 .dueMillis()
                 .ifPresent(millis -> world.timers().set(new KeeperTimer.AppendDue(), millis));
     }
+
+    private Optional<LedgerRecord> head(KeeperWorld world, long nowMillis) {
+        return limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE
+                ? Optional.of(UsableShareSystem.stamp(world, limits, nowMillis))
+                : Optional.empty();
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/GrantSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantSystem.java
@@ -29,8 +29,8 @@
                 account,
                 world.ledger().grantsOf(account.id()),
                 world.self(),
-                world.availableTokens(account.id()),
-                neededTokens(world, account.id()),
+                world.idleTokens(account.id()),
+                neededIdleTokens(world, account.id()),
                 demand);
     }
 
@@ -42,6 +42,20 @@
                 .sum();
     }
 
+    /** Returns how much this keeper must hold so that its usable share covers what waits. */
+    private static long neededIdleTokens(KeeperWorld world, BudgetId budget) {
+        long missing = missingTokens(world, budget);
+        return missing > 0
+                ? world.idleTokens(budget) + missing
+                : Math.min(neededTokens(world, budget), world.idleTokens(budget));
+    }
+
+    private static long missingTokens(KeeperWorld world, BudgetId budget) {
+        long missing = neededTokens(world, budget) - world.availableTokens(budget);
+        long whole = UsableShareSystem.WHOLE_PERMILLE;
+        return missing <= 0 ? 0 : -Math.floorDiv(-missing * whole, world.usablePermille());
+    }
+
     private static void carryOut(
             KeeperWorld world, BudgetId budget, GrantPlan plan, long demandPerHour) {
         if (plan.askTokens() > 0) {
@@ -52,7 +66,7 @@
     }
 
     private static void ask(KeeperWorld world, BudgetId budget, long tokens, long demandPerHour) {
-        long needed = Math.max(0, neededTokens(world, budget) - world.availableTokens(budget));
+        long needed = missingTokens(world, budget);
         world.append(
                 new LedgerRecord.GrantAsked(budget, world.self(), tokens, needed, demandPerHour));
         world.holdings().update(budget, row -> row.asking(true));
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/HolderRow.java
@@ -0,0 +1,42 @@
+package org.bramleylatch.core;
+
+/**
+ * Is what a holder of grants last said of itself, so that its successor on the same VM can tell
+ * whether it may have used more than its usable share.
+ *
+ * @param holder the process
+ * @param bootMillis the time of day at which the steady clock of its VM was zero, by its own clock
+ * @param stampMillis when it was last within its usable share, by its own clock; 0 if it was not
+ * @param succeeded true once a successor took back what it can't have used
+ */
+public record HolderRow(Incarnation holder, long bootMillis, long stampMillis, boolean succeeded) {
+    /** Two readings of one boot differ by less, unless the time of day was set in between. */
+    private static final long SAME_BOOT_MILLIS = 200;
+
+    /** Returns the row of a holder that was heard of. */
+    static HolderRow of(LedgerRecord.HolderSeen seen) {
+        return new HolderRow(seen.holder(), seen.bootMillis(), seen.stampMillis(), false);
+    }
+
+    /** Returns the row after a successor took over. */
+    HolderRow succeed() {
+        return new HolderRow(holder, bootMillis, stampMillis, true);
+    }
+
+    /**
+     * Returns true if the holder, which is known to be gone, ended within the given time of its
+     * stamp. Both clocks follow the steady clock of one VM; where that was restarted or the time of
+     * day was set, nothing is proved.
+     *
+     * @param nowMillis the successor's time
+     * @param successorBootMillis the successor's reading of when the steady clock was zero
+     */
+    boolean endedWithin(long spanMillis, long nowMillis, long successorBootMillis) {
+        boolean sameBoot = Math.abs(bootMillis - successorBootMillis) <= SAME_BOOT_MILLIS;
+        long sinceMillis = nowMillis - stampMillis;
+        return stampMillis > 0
+                && sameBoot
+                && sinceMillis >= 0
+                && sinceMillis + SAME_BOOT_MILLIS < spanMillis;
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bramleylatch.core.KeeperInput.AttemptNoted;
+import org.bramleylatch.core.KeeperInput.BootSeen;
 import org.bramleylatch.core.KeeperInput.EndpointReported;
 import org.bramleylatch.core.KeeperInput.FromLog;
 import org.bramleylatch.core.KeeperInput.FundsSeen;
@@ -16,6 +17,7 @@
 import org.bramleylatch.core.KeeperInput.StopAsked;
 import org.bramleylatch.core.KeeperInput.UsageGiven;
 import org.bramleylatch.core.LedgerFeed.AppendDone;
+import org.bramleylatch.core.LedgerFeed.CaughtUp;
 import org.bramleylatch.core.LedgerFeed.EntriesRead;
 import org.bramleylatch.core.LedgerFeed.LogSeen;
 import org.bramleylatch.core.LedgerFeed.SnapshotLoaded;
@@ -48,6 +50,7 @@
                     .on(RouterLost.class, this::loseRouter)
                     .on(EndpointReported.class, this::settleOrphan)
                     .on(FundsSeen.class, this::fund)
+                    .on(BootSeen.class, this::boot)
                     .on(FromLog.class, input -> feed().apply(input.feed()))
                     .on(StopAsked.class, message -> stop());
         }
@@ -57,6 +60,7 @@
                     .on(EntriesRead.class, this::fold)
                     .on(SnapshotLoaded.class, this::load)
                     .on(AppendDone.class, this::acknowledge)
+                    .on(CaughtUp.class, caughtUp -> catchUp())
                     .on(LogSeen.class, this::seeLog);
         }
 
@@ -300,6 +304,17 @@
             return true;
         }
 
+        private boolean catchUp() {
+            world.setCaughtUp();
+            world.ledger().budgets().keys().forEach(world.touched()::add);
+            return true;
+        }
+
+        private boolean boot(BootSeen seen) {
+            world.setBootMillis(seen.bootMillis());
+            return true;
+        }
+
         private boolean seeLog(LogSeen seen) {
             if (world.isLogReachable() != seen.reachable()) {
                 EventKind kind = seen.reachable() ? EventKind.LOG_BACK : EventKind.LOG_AWAY;
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -55,6 +55,9 @@
     /** The log tells something. */
     record FromLog(LedgerFeed feed) implements KeeperInput {}
 
+    /** The steady clock of the VM was zero at this time of day, by the keeper's own clock. */
+    record BootSeen(long bootMillis) implements KeeperInput {}
+
     /** The operator's configuration states what was paid into budgets. */
     record FundsSeen(List<BudgetFunds> funds) implements KeeperInput {
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -14,6 +14,8 @@
  * @param mostRecords the most records in one append
  * @param snapshotEveryRecords how many records lie between two snapshots at the most
  * @param demandHalfLifeMillis how fast the forecast of a budget's demand forgets
+ * @param usablePermille the share of a grant that may be used while the log answers, in thousandths
+ * @param releasedAfterMillis how long after its last stamp a keeper without the log may use all
  * @param waitsForLog true if a request that lacks tokens waits also while the log is away
  * @param usageSummed true if usage is billed in sums, where no other process bills it too
  * @param snapshotEveryMillis how much time lies between two snapshots at the most
@@ -31,6 +33,8 @@
         int snapshotEveryRecords,
         long snapshotEveryMillis,
         long demandHalfLifeMillis,
+        int usablePermille,
+        long releasedAfterMillis,
         boolean waitsForLog,
         boolean usageSummed) {
     private static final long DEMAND_HALF_LIFE_MILLIS = 10 * 60 * 1_000L;
@@ -41,7 +45,7 @@
     private static final long INTENT_WAIT_MILLIS = 2_000;
 
     /** Below the 1.5 s after which an ended request should no longer bind its worst case. */
-    private static final long SETTLE_EVERY_MILLIS = 1_000;
+    private static final long SETTLE_EVERY_MILLIS = 600;
 
     /** A few round trips to the log, so that requests that wait together ask together. */
     private static final long URGENT_MILLIS = 20;
@@ -52,6 +56,16 @@
     /** A router that was cut off still bills what its requests used, if it is back by then. */
     private static final long ORPHAN_GRACE_MILLIS = 10_000;
 
+    /**
+     * Half a grant lasts for longer than RELEASED_AFTER_MILLIS, so a cut is bridged by the rest.
+     */
+    private static final int USABLE_PERMILLE = 600;
+
+    /**
+     * Above the time in which a process that was killed serves again, with the age of its stamp.
+     */
+    private static final long RELEASED_AFTER_MILLIS = 3_500;
+
     private static final long ORPHAN_RETRY_MILLIS = 1_000;
     private static final long REVIEW_MILLIS = 1_000;
     private static final int MOST_RECORDS = 500;
@@ -81,6 +95,8 @@
                 20_000,
                 600_000,
                 DEMAND_HALF_LIFE_MILLIS,
+                UsableShareSystem.WHOLE_PERMILLE,
+                0,
                 true,
                 false);
     }
@@ -100,6 +116,8 @@
                 records,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
+                usablePermille,
+                releasedAfterMillis,
                 waitsForLog,
                 usageSummed);
     }
@@ -119,6 +137,8 @@
                 snapshotEveryRecords,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
+                usablePermille,
+                releasedAfterMillis,
                 waitsForLog,
                 usageSummed);
     }
@@ -142,6 +162,8 @@
                 SNAPSHOT_EVERY_RECORDS,
                 Math.min(SNAPSHOT_EVERY_MILLIS, keepMillis / SNAPSHOTS_KEPT),
                 FORECAST_HALF_LIFE_MILLIS,
+                USABLE_PERMILLE,
+                RELEASED_AFTER_MILLIS,
                 false,
                 true);
     }
--- a/core/src/main/java/org/bramleylatch/core/KeeperStopSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperStopSystem.java
@@ -15,9 +15,9 @@
                 world.holdings().where(row -> row.returningTokens() == 0 && !row.askInFlight());
         idle.stream()
                 .map(HoldingRow::budget)
-                .filter(budget -> world.availableTokens(budget) > 0)
+                .filter(budget -> world.idleTokens(budget) > 0)
                 .sorted()
-                .forEach(b -> GrantSystem.giveBack(world, b, world.availableTokens(b)));
+                .forEach(b -> GrantSystem.giveBack(world, b, world.idleTokens(b)));
         if (isSettled(world)) {
             told = true;
             world.outbox().add(new KeeperOutput.Stopped());
--- a/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
@@ -15,7 +15,8 @@
         return Schedule.of(
                 new KeeperInbox(limits),
                 new KeeperTimers(limits),
-                new SuccessionSystem(),
+                new UsableShareSystem(limits),
+                new SuccessionSystem(limits),
                 new ReservingSystem(limits),
                 new GrantSystem(policy),
                 new MoveTellingSystem(),
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
@@ -77,6 +77,6 @@
         return row.boundTokens() == 0
                 && !row.askInFlight()
                 && row.demandAt(nowMillis) < IDLE_TOKENS_PER_HOUR
-                && world.availableTokens(row.budget()) == 0;
+                && world.idleTokens(row.budget()) == 0;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -29,6 +29,10 @@
     private long snapshotMillis;
     private boolean logReachable;
     private boolean logLost;
+    private boolean caughtUp;
+    private int usablePermille = UsableShareSystem.WHOLE_PERMILLE;
+    private long stampMillis;
+    private long bootMillis;
     private boolean stopping;
 
     private KeeperWorld(Incarnation self) {
@@ -95,10 +99,59 @@
         return stopping;
     }
 
-    /** Returns the tokens of the own grant that nothing is bound to. */
+    /** Returns the tokens of the budget that this keeper may still set aside. */
     public long availableTokens(BudgetId budget) {
-        long open = ledger.grant(budget, self).map(GrantRow::openTokens).orElse(0L);
-        return open - holdings.find(budget).map(HoldingRow::boundTokens).orElse(0L);
+        long returning = holdings.find(budget).map(HoldingRow::returningTokens).orElse(0L);
+        long kept = openTokens(budget) - returning;
+        long usable = kept * usablePermille / UsableShareSystem.WHOLE_PERMILLE;
+        return usable - boundTokens(budget) + returning;
+    }
+
+    /** Returns the tokens of the budget that this keeper holds and has no use for yet. */
+    public long idleTokens(BudgetId budget) {
+        return openTokens(budget) - boundTokens(budget);
+    }
+
+    /** Returns the tokens of the budget that the ledger says this keeper holds. */
+    long openTokens(BudgetId budget) {
+        return ledger.grant(budget, self).map(GrantRow::openTokens).orElse(0L);
+    }
+
+    private long boundTokens(BudgetId budget) {
+        return holdings.find(budget).map(HoldingRow::boundTokens).orElse(0L);
+    }
+
+    int usablePermille() {
+        return usablePermille;
+    }
+
+    void setUsablePermille(int permille) {
+        usablePermille = permille;
+    }
+
+    /** Returns when this keeper last told that it was within its usable share. */
+    long stampMillis() {
+        return stampMillis;
+    }
+
+    void setStampMillis(long millis) {
+        stampMillis = millis;
+    }
+
+    long bootMillis() {
+        return bootMillis;
+    }
+
+    void setBootMillis(long millis) {
+        bootMillis = millis;
+    }
+
+    boolean isCaughtUp() {
+        return caughtUp;
+    }
+
+    void setCaughtUp() {
+        caughtUp = true;
     }
 
     Table<RequestKey, IntentAskRow> intentAsks() {
--- a/core/src/main/java/org/bramleylatch/core/Ledger.java
+++ b/core/src/main/java/org/bramleylatch/core/Ledger.java
@@ -18,6 +18,7 @@
     private final Table<BudgetId, List<Incarnation>> holders = Table.empty();
     private final Table<RequestKey, IntentRow> intents = Table.empty();
     private final Table<Incarnation, WriterRow> writers = Table.empty();
+    private final Table<Incarnation, HolderRow> holderRows = Table.empty();
     private final Table<RouteName, MoveRow> moves = Table.empty();
     private final KeyWindow settledKeys = KeyWindow.empty();
     private long nextOffset;
@@ -59,6 +60,11 @@
         return writers;
     }
 
+    /** Returns what each holder last said of itself. */
+    public Table<Incarnation, HolderRow> holderRows() {
+        return holderRows;
+    }
+
     /** Returns the latest move of each route. */
     public Table<RouteName, MoveRow> moves() {
         return moves;
@@ -111,6 +117,7 @@
                 .forEach(rows::add);
         intents.rows().map(LedgerImage.IntentPart::new).forEach(rows::add);
         writers.rows().map(LedgerImage.WriterPart::new).forEach(rows::add);
+        holderRows.rows().map(LedgerImage.HolderPart::new).forEach(rows::add);
         moves.rows().map(LedgerImage.MovePart::new).forEach(rows::add);
         settledKeys.keys().map(LedgerImage.KeyPart::new).forEach(rows::add);
         return new LedgerImage(nextOffset, logMillis, rows);
@@ -147,6 +154,7 @@
                     .on(LedgerImage.GrantPart.class, part -> loadGrant(part.grant()))
                     .on(LedgerImage.IntentPart.class, part -> loadIntent(part.intent()))
                     .on(LedgerImage.WriterPart.class, part -> loadWriter(part.writer()))
+                    .on(LedgerImage.HolderPart.class, part -> loadHolder(part.holder()))
                     .on(LedgerImage.MovePart.class, part -> loadMove(part.move()))
                     .on(LedgerImage.KeyPart.class, part -> settledKeys.add(part.key()));
 
@@ -170,6 +178,11 @@
         return true;
     }
 
+    private boolean loadHolder(HolderRow row) {
+        holderRows.put(row.holder(), row);
+        return true;
+    }
+
     private boolean loadMove(MoveRow row) {
         moves.put(row.spec().route(), row);
         return true;
--- a/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
@@ -1,8 +1,8 @@
 package org.bramleylatch.core;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Decides where to read an account stream. A reader whose position is no longer kept looks for a
@@ -16,6 +16,7 @@
     private long nextOffset;
     private long scanOffset = EARLIEST;
     private boolean scanning;
+    private OptionalLong searchEndOffset = OptionalLong.empty();
 
     private LedgerCursor() {}
 
@@ -34,9 +35,23 @@
         return scanning;
     }
 
+    /**
+     * Begins with the newest snapshot behind the given offset. If there is none up to the end of
+     * the stream, reading begins anew at its first record.
+     *
+     * @param offset where to look from
+     * @param endOffset the end of the stream
+     */
+    public void searchFrom(long offset, long endOffset) {
+        scanning = true;
+        scanOffset = offset;
+        searchEndOffset = OptionalLong.of(endOffset);
+    }
+
     /** Notes that the platform no longer keeps the record at the position. */
     public void expired() {
         scanning = true;
+        searchEndOffset = OptionalLong.empty();
         scanOffset = EARLIEST;
     }
 
@@ -65,18 +80,24 @@
     }
 
     private List<LedgerFeed> scan(long earliest, List<LogEntry> entries) {
-        List<LedgerFeed> inputs = new ArrayList<>();
         for (LogEntry entry : entries) {
             scanOffset = entry.offset() + 1;
             Optional<LedgerImage> image = imageEndingAt(entry, earliest);
             if (image.isPresent()) {
                 nextOffset = image.get().nextOffset();
-                scanning = false;
-                inputs.add(new LedgerFeed.SnapshotLoaded(image.get()));
-                return inputs;
+                endScan();
+                return List.of(new LedgerFeed.SnapshotLoaded(image.get()));
             }
         }
-        return inputs;
+        if (searchEndOffset.isPresent() && scanOffset >= searchEndOffset.getAsLong()) {
+            endScan();
+        }
+        return List.of();
+    }
+
+    private void endScan() {
+        scanning = false;
+        searchEndOffset = OptionalLong.empty();
     }
 
     private Optional<LedgerImage> imageEndingAt(LogEntry entry, long earliest) {
--- a/core/src/main/java/org/bramleylatch/core/LedgerFeed.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFeed.java
@@ -20,6 +20,9 @@
     /** A batch was appended; one whose answer is lost is sent again. */
     record AppendDone(long lastSequence) implements LedgerFeed {}
 
+    /** The end of the stream was reached for the first time. */
+    record CaughtUp() implements LedgerFeed {}
+
     /** The log stopped or resumed answering reads. */
     record LogSeen(boolean reachable) implements LedgerFeed {}
 }
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -9,6 +9,8 @@
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
 import org.bramleylatch.core.LedgerRecord.HolderFrozen;
+import org.bramleylatch.core.LedgerRecord.HolderSeen;
+import org.bramleylatch.core.LedgerRecord.HolderSucceeded;
 import org.bramleylatch.core.LedgerRecord.IntentDeclared;
 import org.bramleylatch.core.LedgerRecord.IntentFinished;
 import org.bramleylatch.core.LedgerRecord.MoveBegun;
@@ -26,6 +28,7 @@
 public final class LedgerFold {
     private static final Optional<ResultCode> ACCEPTED = Optional.empty();
     private static final int EXPIRE_EVERY_RECORDS = 256;
+    private static final int WHOLE_PERMILLE = 1_000;
 
     private final Ledger ledger;
     private final MoveRules moves;
@@ -45,6 +48,8 @@
                         .on(UsageReported.class, this::settle)
                         .on(GrantReturned.class, this::giveBack)
                         .on(HolderFrozen.class, this::freeze)
+                        .on(HolderSeen.class, this::see)
+                        .on(HolderSucceeded.class, this::succeed)
                         .on(FrozenReleased.class, this::release)
                         .on(IntentDeclared.class, this::declare)
                         .on(IntentFinished.class, this::finish)
@@ -154,6 +159,9 @@
         if (budget.isEmpty()) {
             return Optional.of(ResultCode.UNKNOWN_BUDGET);
         }
+        if (isSucceeded(record.holder())) {
+            return Optional.of(ResultCode.GRANT_UNKNOWN);
+        }
         long granted = Math.max(0, Math.min(budget.get().freeTokens(), record.tokens()));
         long missing = Math.max(0, record.neededTokens() - granted);
         GrantKey key = GrantKey.of(record.budget(), record.holder());
@@ -208,6 +216,38 @@
         return ACCEPTED;
     }
 
+    private Optional<ResultCode> see(HolderSeen record) {
+        if (isSucceeded(record.holder())) {
+            return Optional.of(ResultCode.GRANT_UNKNOWN);
+        }
+        ledger.holderRows().put(record.holder(), HolderRow.of(record));
+        return ACCEPTED;
+    }
+
+    private Optional<ResultCode> succeed(HolderSucceeded record) {
+        if (isSucceeded(record.holder())) {
+            return Optional.of(ResultCode.GRANT_UNKNOWN);
+        }
+        ledger.holderRows().update(record.holder(), HolderRow::succeed);
+        List<GrantKey> held =
+                ledger.grants().keys().filter(k -> k.holder().equals(record.holder())).toList();
+        held.forEach(key -> giveBackUnused(key, record.usedPermille()));
+        return ACCEPTED;
+    }
+
+    private void giveBackUnused(GrantKey key, int usedPermille) {
+        GrantRow grant = ledger.grants().find(key).orElseThrow();
+        long used = -Math.floorDiv(-grant.openTokens() * usedPermille, WHOLE_PERMILLE);
+        long unused = grant.frozen() ? 0 : grant.openTokens() - used;
+        ledger.grants().put(key, grant.returned(unused).freeze());
+        ledger.budgets().update(key.budget(), row -> row.opened(-unused));
+        serveWaitingHolders(key.budget());
+    }
+
+    private boolean isSucceeded(Incarnation holder) {
+        return ledger.holderRows().find(holder).filter(HolderRow::succeeded).isPresent();
+    }
+
     private Optional<ResultCode> release(FrozenReleased record) {
         Optional<GrantRow> grant =
                 ledger.grant(record.budget(), record.holder()).filter(GrantRow::frozen);
--- a/core/src/main/java/org/bramleylatch/core/LedgerImage.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerImage.java
@@ -35,6 +35,9 @@
     /** Carries a writer's progress. */
     public record WriterPart(WriterRow writer) implements Row {}
 
+    /** Is what a holder last said of itself. */
+    record HolderPart(HolderRow holder) implements Row {}
+
     /** Carries a move. */
     public record MovePart(MoveRow move) implements Row {}
 
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -59,6 +59,24 @@
     /** Returns tokens of the writer's own grant to the free part. */
     record GrantReturned(BudgetId budget, Incarnation holder, long tokens) implements OfBudget {}
 
+    /**
+     * Says at the head of each batch what its writer's successor needs to know.
+     *
+     * @param bootMillis when the steady clock of the VM was zero, by the writer's clock
+     * @param stampMillis when the batch was made; 0 if the writer had bound more than its usable
+     *     share of a grant
+     */
+    record HolderSeen(Incarnation holder, long bootMillis, long stampMillis)
+            implements LedgerRecord {}
+
+    /**
+     * Ends a holder whose successor proved that it used no more than a share of its grants; the
+     * rest of them is free again.
+     *
+     * @param usedPermille the share, in thousandths
+     */
+    record HolderSucceeded(Incarnation holder, int usedPermille) implements LedgerRecord {}
+
     /** Marks the grants of a holder as frozen. Evidence that it is away, not proof. */
     record HolderFrozen(Incarnation holder) implements LedgerRecord {}
 
--- a/core/src/main/java/org/bramleylatch/core/LogWriter.java
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Queue;
+import java.util.function.Supplier;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
 import org.bramleylatch.core.LedgerRecord.IntentDeclared;
@@ -53,9 +54,12 @@
      * Returns the batch that is to be sent now, if one is.
      *
      * @param nowMillis the time of the tick, in milliseconds
+     * @param head gives what a new batch begins with
      */
-    public Optional<List<Numbered>> takeDue(long nowMillis, KeeperLimits limits) {
+    public Optional<List<Numbered>> takeDue(
+            long nowMillis, KeeperLimits limits, Supplier<Optional<LedgerRecord>> head) {
         if (inFlight.isEmpty() && !queue.isEmpty() && nowMillis >= sendMillis()) {
+            head.get().ifPresent(this::number);
             coalesce(takeQueued(limits.mostRecords())).forEach(this::number);
             urgent = !queue.isEmpty() && urgent;
             nextSendMillis = nowMillis + limits.appendIntervalMillis();
--- a/core/src/main/java/org/bramleylatch/core/ReadBack.java
+++ b/core/src/main/java/org/bramleylatch/core/ReadBack.java
@@ -5,6 +5,7 @@
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
 import org.bramleylatch.core.LedgerRecord.HolderFrozen;
+import org.bramleylatch.core.LedgerRecord.HolderSucceeded;
 import org.bramleylatch.core.LedgerRecord.IntentDeclared;
 import org.bramleylatch.core.LedgerRecord.UsageReported;
 import org.bramleylatch.core.LedgerRecord.UsageSummed;
@@ -50,6 +51,7 @@
                 .on(IntentDeclared.class, declared -> answerClaim(world, declared))
                 .on(UsageReported.class, reported -> dropRefused(world, reported))
                 .on(HolderFrozen.class, frozen -> world.freezing().remove(frozen.holder()))
+                .on(HolderSucceeded.class, done -> world.freezing().remove(done.holder()))
                 .on(UsageSummed.class, summed -> endSum(world, summed))
                 .accept(numbered.record());
     }
--- a/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
@@ -63,7 +63,8 @@
     private static boolean isFree(KeeperWorld world, ReservationRow row) {
         long free =
                 world.ledger().budgets().find(row.budget()).map(BudgetRow::freeTokens).orElse(0L);
-        return free + world.availableTokens(row.budget()) >= row.tokens();
+        long usable = free * world.usablePermille() / UsableShareSystem.WHOLE_PERMILLE;
+        return usable + world.availableTokens(row.budget()) >= row.tokens();
     }
 
     private static List<Incarnation> lenders(KeeperWorld world, ReservationRow row) {
--- a/core/src/main/java/org/bramleylatch/core/RouteTerms.java
+++ b/core/src/main/java/org/bramleylatch/core/RouteTerms.java
@@ -35,6 +35,7 @@
             new RouteTerms(
                     Optional.empty(), false, true, false, false, MOST_ATTEMPTS, 0, 0, 0, List.of());
 
+    /** Copies the list. */
     public RouteTerms {
         split = List.copyOf(split);
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -38,6 +38,17 @@
         long retryWindowMillis) {
     private static final long RETRY_WINDOW_MILLIS = 10_000;
 
+    /** Every endpoint is used, so that each shared part of a prompt has one home in the fleet. */
+    private static final int EVERY_ENDPOINT = 10_000;
+
+    /** Twice the target of the shortest answers; a stream's caller leaves after 2 s. */
+    private static final long FIRST_ANSWER_MILLIS = 900;
+
+    private static final long STALL_MILLIS = 1_000;
+
+    /** Entries of live endpoints are back within 2 s of the registry's return. */
+    private static final long REGISTRY_SETTLE_MILLIS = 2_300;
+
     /** A few round trips between zones, so that a keeper behind a partition is passed over. */
     private static final long LEND_MILLIS = 60;
 
@@ -61,68 +72,33 @@
                 RETRY_WINDOW_MILLIS);
     }
 
-    /** Returns the limits with another allowance of retries for each back end. */
-    public RouterLimits withRetries(int burst, int permille, long windowMillis) {
-        return new RouterLimits(
-                mostEndpoints,
-                mostOpen,
-                mostQueued,
-                mostAttempts,
-                reserveMillis,
-                firstTokenMillis,
-                stallMillis,
-                holdMillis,
-                pausedMillis,
-                permille,
-                moveReportMillis,
-                burst,
-                registrySettleMillis,
-                lendMillis,
-                windowMillis);
-    }
-
     /**
-     * Returns the limits for a registry in which endpoints lapse while it is away.
+     * Returns the limits of a router that shares its process with its keeper and finds endpoints in
+     * a registry.
      *
-     * @param endpoints the most endpoints of one back end and version that a router uses
-     * @param settleMillis how long after its return it may still miss live endpoints
+     * @param retryBurst how many retries a back end may get beyond what its requests earn, from all
+     *     routers
+     * @param retryPermille how many retries its requests earn, in thousandths
+     * @param retryWindowMillis over which both are counted
      */
-    public RouterLimits withRegistry(int endpoints, long settleMillis) {
-        return new RouterLimits(
-                endpoints,
-                mostOpen,
-                mostQueued,
-                mostAttempts,
-                reserveMillis,
-                firstTokenMillis,
-                stallMillis,
-                holdMillis,
-                pausedMillis,
-                retryPermille,
-                moveReportMillis,
-                retryBurst,
-                settleMillis,
-                lendMillis,
-                retryWindowMillis);
-    }
-
-    /** Returns the limits with another bound on the silence of an endpoint. */
-    public RouterLimits withSilence(long beforeFirstMillis, long betweenMillis) {
+    public static RouterLimits besideKeeper(
+            int retryBurst, int retryPermille, long retryWindowMillis) {
+        RouterLimits standard = standard();
         return new RouterLimits(
-                mostEndpoints,
-                mostOpen,
-                mostQueued,
-                mostAttempts,
-                reserveMillis,
-                beforeFirstMillis,
-                betweenMillis,
-                holdMillis,
-                pausedMillis,
+                EVERY_ENDPOINT,
+                standard.mostOpen,
+                standard.mostQueued,
+                standard.mostAttempts,
+                standard.reserveMillis,
+                FIRST_ANSWER_MILLIS,
+                STALL_MILLIS,
+                standard.holdMillis,
+                standard.pausedMillis,
                 retryPermille,
-                moveReportMillis,
+                standard.moveReportMillis,
                 retryBurst,
-                registrySettleMillis,
-                lendMillis,
+                REGISTRY_SETTLE_MILLIS,
+                standard.lendMillis,
                 retryWindowMillis);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
@@ -1,16 +1,18 @@
 package org.bramleylatch.core;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
- * Freezes the grants of earlier incarnations of this process on the same VM. That this one runs is
- * proof that they are gone, so what they held no longer counts as demand.
+ * Takes over the grants of earlier incarnations of this process on the same VM. That this one runs
+ * is proof that they are gone. What they may have used stays bound; the rest goes back at once
+ * where their last stamp proves that they kept to their usable share.
  */
-final class SuccessionSystem implements TickSystem<KeeperWorld> {
+record SuccessionSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
-        if (world.isLogReachable()) {
+        if (world.isCaughtUp()) {
             List<Incarnation> gone =
                     world.touched().stream()
                             .flatMap(budget -> world.ledger().grantsOf(budget).stream())
@@ -19,14 +21,28 @@
                             .filter(world.self()::succeeds)
                             .distinct()
                             .toList();
-            gone.forEach(holder -> freeze(world, holder));
+            gone.forEach(holder -> succeed(world, holder, nowMillis));
         }
     }
 
-    private static void freeze(KeeperWorld world, Incarnation holder) {
+    private void succeed(KeeperWorld world, Incarnation holder, long nowMillis) {
         if (world.freezing().add(holder)) {
-            world.append(new LedgerRecord.HolderFrozen(holder));
-            world.note(EventKind.HOLDER_FROZEN, holder, "succeeded by " + world.self());
+            Optional<HolderRow> row = world.ledger().holderRows().find(holder);
+            boolean proved =
+                    row.filter(found -> isWithinShare(world, found, nowMillis)).isPresent();
+            world.append(
+                    proved
+                            ? new LedgerRecord.HolderSucceeded(holder, limits.usablePermille())
+                            : new LedgerRecord.HolderFrozen(holder));
+            world.note(
+                    EventKind.HOLDER_FROZEN,
+                    holder,
+                    "successor=" + world.self() + " withinShare=" + proved + " last=" + row);
         }
     }
+
+    private boolean isWithinShare(KeeperWorld world, HolderRow row, long nowMillis) {
+        return limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE
+                && row.endedWithin(limits.releasedAfterMillis(), nowMillis, world.bootMillis());
+    }
 }
--- a/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
@@ -15,8 +15,7 @@
     private static final Optional<String> KEY = Optional.of("digest");
     private static final Incarnation LENDER = Incarnation.of("keeper@front-2-1");
     private static final Incarnation OTHER_LENDER = Incarnation.of("keeper@front-3-1");
-    private static final RouterLimits LIMITS =
-            RouterLimits.standard().withRetries(8, 0, 10_000).withRegistry(100, 2_000);
+    private static final RouterLimits LIMITS = RouterLimits.besideKeeper(8, 0, 10_000);
 
     private final RouterCase router = new RouterCase(Placement.bySharedPrefix(), LIMITS);
 
--- a/core/src/test/java/org/bramleylatch/core/KeeperBesideRouterTest.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperBesideRouterTest.java
@@ -45,6 +45,8 @@
         fund(1_000);
         keeper.reserve(ROUTER, ONE, 100);
         keeper.reserve(ROUTER, TWO, 100);
+        keeper.advance(100);
+        assertThat(keeper.all(ReserveGranted.class)).hasSize(2);
         use(ONE, 60);
         use(TWO, 30);
         assertThat(keeper.all(UsageDurable.class)).hasSize(2);
@@ -58,6 +60,7 @@
         fund(1_000);
         keeper.operate(new GrantAsked(BUDGET, PREDECESSOR, 200, 0, 0));
         keeper.operate(new GrantAsked(BUDGET, OTHER, 300, 0, 0));
+        keeper.put(new KeeperInput.FromLog(new LedgerFeed.CaughtUp()));
         keeper.advance(SETTLED_MILLIS);
         assertThat(keeper.world.ledger().grant(BUDGET, PREDECESSOR).map(GrantRow::frozen))
                 .contains(true);
--- a/core/src/test/java/org/bramleylatch/core/LedgerCursorTest.java
+++ b/core/src/test/java/org/bramleylatch/core/LedgerCursorTest.java
@@ -64,6 +64,29 @@
         assertThat(cursor.take(0, log)).isEmpty();
     }
 
+    @Test
+    void aCursorThatSearchesBeginsBehindARecentSnapshot() {
+        create(4);
+        Ledger ledger = Ledger.empty();
+        log.forEach(LedgerFold.of(ledger)::apply);
+        SnapshotAssembly.split(ledger.image()).forEach(this::add);
+        create(2);
+        cursor.searchFrom(3, log.size());
+        assertThat(cursor.readOffset()).isEqualTo(3);
+        assertThat(cursor.take(0, log.subList(3, log.size())))
+                .containsExactly(new LedgerFeed.SnapshotLoaded(ledger.image()));
+        assertThat(cursor.readOffset()).isEqualTo(4);
+    }
+
+    @Test
+    void aCursorThatFindsNoSnapshotBeginsAtTheFirstRecord() {
+        create(4);
+        cursor.searchFrom(2, log.size());
+        assertThat(cursor.take(0, log.subList(2, 4))).isEmpty();
+        assertThat(cursor.isScanning()).isFalse();
+        assertThat(cursor.readOffset()).isZero();
+    }
+
     private void create(int budgets) {
         for (int index = 0; index < budgets; index++) {
             add(new LedgerRecord.BudgetCreated(BudgetId.of("budget-" + log.size()), "w"));
--- a/core/src/test/java/org/bramleylatch/core/LogWriterTest.java
+++ b/core/src/test/java/org/bramleylatch/core/LogWriterTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class LogWriterTest {
@@ -15,29 +16,31 @@
     @Test
     void aBatchWithoutAnAnswerIsSentAgainWithTheSameNumbers() {
         writer.add(created("a"));
-        List<Numbered> first = writer.takeDue(0, LIMITS).orElseThrow();
-        assertThat(writer.takeDue(LIMITS.appendRetryMillis() - 1, LIMITS)).isEmpty();
-        assertThat(writer.takeDue(LIMITS.appendRetryMillis(), LIMITS)).contains(first);
+        List<Numbered> first = writer.takeDue(0, LIMITS, Optional::empty).orElseThrow();
+        assertThat(writer.takeDue(LIMITS.appendRetryMillis() - 1, LIMITS, Optional::empty))
+                .isEmpty();
+        assertThat(writer.takeDue(LIMITS.appendRetryMillis(), LIMITS, Optional::empty))
+                .contains(first);
     }
 
     @Test
     void anAnsweredBatchIsNotSentAgain() {
         writer.add(created("a"));
-        writer.takeDue(0, LIMITS);
+        writer.takeDue(0, LIMITS, Optional::empty);
         writer.appended(1);
-        assertThat(writer.takeDue(10_000, LIMITS)).isEmpty();
+        assertThat(writer.takeDue(10_000, LIMITS, Optional::empty)).isEmpty();
         assertThat(writer.isIdle()).isFalse();
     }
 
     @Test
     void theNextBatchWaitsUntilTheOneInFlightWasReadBack() {
         writer.add(created("a"));
-        writer.takeDue(0, LIMITS);
+        writer.takeDue(0, LIMITS, Optional::empty);
         writer.appended(1);
         writer.add(created("b"));
-        assertThat(writer.takeDue(10_000, LIMITS)).isEmpty();
+        assertThat(writer.takeDue(10_000, LIMITS, Optional::empty)).isEmpty();
         writer.readBack(1);
-        assertThat(writer.takeDue(10_000, LIMITS).orElseThrow())
+        assertThat(writer.takeDue(10_000, LIMITS, Optional::empty).orElseThrow())
                 .containsExactly(new Numbered(2, created("b")));
     }
 
@@ -46,7 +49,7 @@
         writer.add(usage(1));
         writer.add(created("a"));
         writer.add(usage(2));
-        List<Numbered> batch = writer.takeDue(0, LIMITS).orElseThrow();
+        List<Numbered> batch = writer.takeDue(0, LIMITS, Optional::empty).orElseThrow();
         assertThat(batch).hasSize(2);
         assertThat(((LedgerRecord.UsageReported) batch.get(0).record()).usages()).hasSize(2);
     }
--- a/core/src/test/java/org/bramleylatch/core/RegistryViewTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RegistryViewTest.java
@@ -5,13 +5,11 @@
 import org.junit.jupiter.api.Test;
 
 class RegistryViewTest {
-    private static final long SETTLE_MILLIS = 2_000;
+    private static final RouterLimits LIMITS = RouterLimits.besideKeeper(8, 0, 10_000);
+    private static final long SETTLE_MILLIS = LIMITS.registrySettleMillis();
     private static final EndpointId ENGINE = EndpointId.of("engine-1");
 
-    private final RouterCase router =
-            new RouterCase(
-                    Placement.bySharedPrefix(),
-                    RouterLimits.standard().withRegistry(100, SETTLE_MILLIS));
+    private final RouterCase router = new RouterCase(Placement.bySharedPrefix(), LIMITS);
 
     @Test
     void anEndpointThatTheRegistryDropsIsGoneAtOnce() {
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/SuccessionSystemTest.java
@@ -0,0 +1,101 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.bramleylatch.core.KeeperOutput.ReserveGranted;
+import org.bramleylatch.core.KeeperOutput.ReserveRefused;
+import org.bramleylatch.core.LedgerRecord.BudgetFunded;
+import org.bramleylatch.core.LedgerRecord.GrantAsked;
+import org.bramleylatch.core.LedgerRecord.HolderSeen;
+import org.bramleylatch.core.LedgerRecord.HolderSucceeded;
+import org.junit.jupiter.api.Test;
+
+class SuccessionSystemTest {
+    private static final BudgetId BUDGET = KeeperCase.BUDGET;
+    private static final Incarnation KEEPER = Incarnation.of("keeper@front-1-second");
+    private static final Incarnation PREDECESSOR = Incarnation.of("keeper@front-1-first");
+    private static final GrantKey LEFT_BEHIND = GrantKey.of(BUDGET, PREDECESSOR);
+    private static final KeeperLimits LIMITS = KeeperLimits.besideRouter(20_000);
+    private static final long START_MILLIS = 1_700_000_000_000L;
+    private static final long BOOT_MILLIS = START_MILLIS - 60_000;
+
+    private final KeeperCase keeper =
+            new KeeperCase(KEEPER, GrantPolicy.bySeconds(1_000, 10), LIMITS);
+
+    @Test
+    void whatAPredecessorThatEndedWithinItsShareLeftUnusedIsFreeAgain() {
+        leave(START_MILLIS - 1_000, BOOT_MILLIS);
+        assertThat(left()).isEqualTo(200L * LIMITS.usablePermille() / 1_000);
+        assertThat(keeper.statement().settledTokens()).isZero();
+    }
+
+    @Test
+    void nothingIsTakenBackFromOneThatMayHaveBeenAloneForLong() {
+        leave(START_MILLIS - LIMITS.releasedAfterMillis(), BOOT_MILLIS);
+        assertThat(left()).isEqualTo(200);
+    }
+
+    @Test
+    void nothingIsTakenBackAfterTheSteadyClockBeganAnewOrTheTimeOfDayWasSet() {
+        leave(START_MILLIS - 1_000, BOOT_MILLIS - 2_000);
+        assertThat(left()).isEqualTo(200);
+    }
+
+    @Test
+    void nothingIsTakenBackFromOneThatWasBeyondItsShare() {
+        leave(0, BOOT_MILLIS);
+        assertThat(left()).isEqualTo(200);
+    }
+
+    @Test
+    void aStampFromTheFutureProvesNothing() {
+        leave(START_MILLIS + 10_000, BOOT_MILLIS);
+        assertThat(left()).isEqualTo(200);
+    }
+
+    @Test
+    void aRecordOfTheDeadThatComesLateGetsNoGrantAndIsNotTakenBackTwice() {
+        leave(START_MILLIS - 1_000, BOOT_MILLIS);
+        keeper.operate(new GrantAsked(BUDGET, PREDECESSOR, 300, 0, 0));
+        keeper.operate(new HolderSucceeded(PREDECESSOR, LIMITS.usablePermille()));
+        keeper.advance(2_000);
+        assertThat(left()).isEqualTo(200L * LIMITS.usablePermille() / 1_000);
+    }
+
+    @Test
+    void aKeeperUsesOnlyItsShareWhileTheLogAnswersAndAllOfItOnceItIsAlone() {
+        fund();
+        keeper.reserve(KeeperCase.ROUTER, KeeperCase.key(1), 100);
+        keeper.advance(2_000);
+        long open = keeper.world.openTokens(BUDGET);
+        long available = keeper.world.availableTokens(BUDGET);
+        assertThat(available).isEqualTo(open * LIMITS.usablePermille() / 1_000 - 100);
+        keeper.setAnswering(false);
+        keeper.reserve(KeeperCase.ROUTER, KeeperCase.key(2), available + 1);
+        assertThat(keeper.all(ReserveRefused.class)).hasSize(1);
+        keeper.advance(LIMITS.releasedAfterMillis());
+        keeper.reserve(KeeperCase.ROUTER, KeeperCase.key(3), available + 1);
+        assertThat(keeper.all(ReserveGranted.class)).hasSize(2);
+    }
+
+    private void leave(long stampMillis, long bootMillis) {
+        fund();
+        keeper.operate(new GrantAsked(BUDGET, PREDECESSOR, 200, 0, 0));
+        keeper.operate(new HolderSeen(PREDECESSOR, bootMillis, stampMillis));
+        keeper.put(new KeeperInput.FromLog(new LedgerFeed.CaughtUp()));
+        keeper.advance(2_000);
+        keeper.advance(2_000);
+    }
+
+    private void fund() {
+        keeper.put(new KeeperInput.BootSeen(BOOT_MILLIS));
+        keeper.put(new KeeperInput.FromLog(new LedgerFeed.LogSeen(true)));
+        keeper.operate(new BudgetFunded(BUDGET, 1_000));
+    }
+
+    private long left() {
+        GrantRow grant = keeper.world.ledger().grants().find(LEFT_BEHIND).orElseThrow();
+        assertThat(grant.frozen()).isTrue();
+        return grant.openTokens();
+    }
+}
--- a/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -25,10 +25,14 @@
     private static final long PEER_TIMEOUT_MILLIS = 2_000;
     private static final int MOST_RECORDS = 5_000;
 
+    /** Several seconds of records at the size of today, and so more than one snapshot. */
+    private static final int SEARCHED_RECORDS = 800;
+
     private final LogService platform;
     private final Incarnation self;
     private final Consumer<LedgerFeed> world;
     private final LedgerCursor cursor = LedgerCursor.atStart();
+    private boolean begun;
     private boolean caughtUp;
     private boolean askedPeers;
     private boolean warned;
@@ -65,6 +69,23 @@
     }
 
     private CompletableFuture<LogPage> read(long waitMillis) {
+        return begun ? readOn(waitMillis) : begin().thenCompose(end -> readOn(waitMillis));
+    }
+
+    /** Looks for a recent snapshot first, so that a restart need not fold the whole stream. */
+    private CompletableFuture<Long> begin() {
+        return platform.end(LogStreams.ACCOUNTS).thenApply(this::begin);
+    }
+
+    private long begin(long end) {
+        begun = true;
+        if (end > SEARCHED_RECORDS) {
+            cursor.searchFrom(end - SEARCHED_RECORDS, end);
+        }
+        return end;
+    }
+
+    private CompletableFuture<LogPage> readOn(long waitMillis) {
         return platform.read(LogStreams.ACCOUNTS, cursor.readOffset(), MOST_RECORDS, waitMillis);
     }
 
@@ -80,7 +101,10 @@
     private void take(LogPage page) {
         List<LogEntry> entries = page.records().stream().map(AccountStream::decode).toList();
         cursor.take(page.earliest(), entries).forEach(world);
-        caughtUp = caughtUp || !cursor.isScanning() && cursor.readOffset() >= page.next();
+        if (!caughtUp && !cursor.isScanning() && cursor.readOffset() >= page.next()) {
+            caughtUp = true;
+            world.accept(new LedgerFeed.CaughtUp());
+        }
     }
 
     private void failed(ResultCode code, WebClient client, List<Address> peers) {
--- a/edge/src/main/java/org/bramleylatch/edge/LogService.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LogService.java
@@ -14,6 +14,14 @@
      */
     CompletableFuture<Long> append(String stream, List<String> records);
 
+    /**
+     * Returns the offset behind the newest record of a stream; 0 where the platform can't tell, so
+     * that reading begins at the first record.
+     */
+    default CompletableFuture<Long> end(String stream) {
+        return CompletableFuture.completedFuture(0L);
+    }
+
     /**
      * Reads records of a stream, waiting for one if there is none.
      *
--- a/edge/src/main/java/org/bramleylatch/edge/MonotonicClock.java
+++ b/edge/src/main/java/org/bramleylatch/edge/MonotonicClock.java
@@ -26,6 +26,11 @@
         return new MonotonicClock(InstantSource.system(), System::nanoTime);
     }
 
+    /** Returns the time of day at which the steady clock was zero, in milliseconds. */
+    public long bootMillis() {
+        return startMillis - TimeUnit.NANOSECONDS.toMillis(startNanos);
+    }
+
     @Override
     public Instant instant() {
         return Instant.ofEpochMilli(millis());
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -9,7 +9,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
@@ -39,6 +38,7 @@
 import org.bramleylatch.edge.KeeperLinks;
 import org.bramleylatch.edge.KeeperReplies;
 import org.bramleylatch.edge.LogFollower;
+import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.edge.Ops;
 import org.bramleylatch.edge.Pace;
 import org.bramleylatch.edge.RouterLinks;
@@ -53,17 +53,6 @@
 
 /** Runs a router and a keeper over the users' platform; both on one event loop. */
 public final class GatewayDaemon {
-    /** Entries of live endpoints are back within 2 s of the store's return. */
-    private static final long REGISTRY_SETTLE_MILLIS = 2_300;
-
-    /** Every endpoint is used, so that each shared part of a prompt has one home in the fleet. */
-    private static final int MOST_ENDPOINTS = 10_000;
-
-    /** Twice the target of the shortest answers; a stream's caller leaves after 2 s. */
-    private static final long FIRST_ANSWER_MILLIS = 900;
-
-    private static final long STALL_MILLIS = 1_000;
-
     /** Leaves a part of the fleet's allowance for routers that are not known yet. */
     private static final int RETRY_PERCENT = 75;
 
@@ -82,6 +71,7 @@
 
     private final Vertx vertx;
     private final Context context;
+    private final MonotonicClock clock;
     private final BootFile boot;
     private final GatewaySettings settings;
     private final EventLog log;
@@ -109,9 +99,10 @@
     private boolean draining;
 
     private GatewayDaemon(
-            Vertx vertx, InstantSource clock, BootFile boot, GatewaySettings settings) {
+            Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
+        this.clock = clock;
         this.boot = boot;
         this.settings = settings;
         this.log = new EventLog(clock, boot.vm(), settings.logLinesPerSecond());
@@ -119,69 +110,76 @@
         this.keeper = Incarnations.fresh("keeper", boot.vm());
         this.router = Incarnations.fresh("router", boot.vm());
         this.replies = KeeperReplies.of(keeper);
-        RouterWorld routerWorld =
-                RouterWorld.of(router, boot.zone(), () -> AttemptId.of(Incarnations.token()));
-        this.routerLoop =
-                new TickLoop<>(
-                        vertx,
-                        context,
-                        clock,
-                        routerWorld,
-                        RouterSystems.schedule(Placement.bySharedPrefix(), limits(boot.bounds())),
-                        this::carry);
-        this.keeperLoop =
-                new TickLoop<>(
-                        vertx,
-                        context,
-                        clock,
-                        KeeperWorld.of(keeper),
-                        KeeperSystems.schedule(
-                                GrantPolicy.bySeconds(
-                                        settings.grantHorizonMillis(),
-                                        settings.smallestGrantTokens()),
-                                KeeperLimits.besideRouter(boot.keepMillis())),
-                        this::carry);
+        this.routerLoop = routerLoop();
+        this.keeperLoop = keeperLoop();
         this.store = new StoreClient(vertx, boot.store(), clock);
         this.operator = new OperatorFeed(routerLoop::offer, keeperLoop::offer);
         this.registry = new Registry(name -> operator.latest().backEnd(name), routerLoop::offer);
         this.operator.onChange(registry::announceAll);
-        this.callers =
-                new CallerSide(
-                        clock,
-                        routerLoop::offer,
-                        metrics,
-                        () -> operator.latest().mostBodyBytes(),
-                        () -> draining);
-        this.endpoints =
-                new EndpointSide(
-                        vertx,
-                        clock,
-                        registry::find,
-                        callers::exchange,
-                        id -> routerWorld.requests().find(id).map(RequestRow::spec),
-                        name -> operator.latest().backEnd(name).tokensPerEvent(),
-                        routerLoop::offer);
+        this.callers = callerSide();
+        this.endpoints = endpointSide();
         this.accounts =
                 new AccountStream(
                         store, keeper, feed -> keeperLoop.offer(new KeeperInput.FromLog(feed)));
         HybridClock order = new HybridClock(clock);
         this.routerLinks = new RouterLinks(vertx, keeper, order, keeperLoop::offer);
         this.keeperLinks = new KeeperLinks(vertx, router, order, routerLoop::offer);
-        this.peers =
-                new Peers(
-                        vertx,
-                        store,
-                        boot.vm(),
-                        boot.inner(),
-                        keeperLinks::open,
-                        routerLoop::offer);
+        this.peers = peers();
         this.routerCarriers = routerCarriers();
         this.keeperCarriers = keeperCarriers();
     }
 
+    private TickLoop<RouterInput, RouterOutput, RouterWorld> routerLoop() {
+        return new TickLoop<>(
+                vertx,
+                context,
+                clock,
+                RouterWorld.of(router, boot.zone(), () -> AttemptId.of(Incarnations.token())),
+                RouterSystems.schedule(Placement.bySharedPrefix(), limits(boot.bounds())),
+                this::carry);
+    }
+
+    private TickLoop<KeeperInput, KeeperOutput, KeeperWorld> keeperLoop() {
+        GrantPolicy policy =
+                GrantPolicy.bySeconds(
+                        settings.grantHorizonMillis(), settings.smallestGrantTokens());
+        return new TickLoop<>(
+                vertx,
+                context,
+                clock,
+                KeeperWorld.of(keeper),
+                KeeperSystems.schedule(policy, KeeperLimits.besideRouter(boot.keepMillis())),
+                this::carry);
+    }
+
+    private CallerSide callerSide() {
+        return new CallerSide(
+                clock,
+                routerLoop::offer,
+                metrics,
+                () -> operator.latest().mostBodyBytes(),
+                () -> draining);
+    }
+
+    private EndpointSide endpointSide() {
+        return new EndpointSide(
+                vertx,
+                clock,
+                registry::find,
+                callers::exchange,
+                id -> routerLoop.world().requests().find(id).map(RequestRow::spec),
+                name -> operator.latest().backEnd(name).tokensPerEvent(),
+                routerLoop::offer);
+    }
+
+    private Peers peers() {
+        return new Peers(
+                vertx, store, boot.vm(), boot.inner(), keeperLinks::open, routerLoop::offer);
+    }
+
     /** Starts the daemon. */
     public static CompletableFuture<GatewayDaemon> start(
-            InstantSource clock, BootFile boot, GatewaySettings settings) {
+            MonotonicClock clock, BootFile boot, GatewaySettings settings) {
         Vertx vertx =
                 Vertx.vertx(
                         new VertxOptions()
@@ -207,19 +205,17 @@
     }
 
     private static RouterLimits limits(Bounds bounds) {
-        return RouterLimits.standard()
-                .withRetries(
-                        bounds.retryExtra() * RETRY_PERCENT / PERCENT,
-                        bounds.retryPermille() * RETRY_PERCENT / PERCENT,
-                        bounds.retryWindowMillis())
-                .withRegistry(MOST_ENDPOINTS, REGISTRY_SETTLE_MILLIS)
-                .withSilence(FIRST_ANSWER_MILLIS, STALL_MILLIS);
+        return RouterLimits.besideKeeper(
+                bounds.retryExtra() * RETRY_PERCENT / PERCENT,
+                bounds.retryPermille() * RETRY_PERCENT / PERCENT,
+                bounds.retryWindowMillis());
     }
 
     private void begin(CompletableFuture<GatewayDaemon> started) {
         Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
         note(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
         routerLoop.offer(new RouterInput.KeeperBeside(keeper));
+        keeperLoop.offer(new KeeperInput.BootSeen(clock.bootMillis()));
         keeperLoop.offer(new KeeperInput.RouterSeen(router));
         follow();
         Router ops = Router.router(vertx);
