--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -56,14 +56,10 @@
     /** A router that was cut off still bills what its requests used, if it is back by then. */
     private static final long ORPHAN_GRACE_MILLIS = 10_000;
 
-    /**
-     * Half a grant lasts for longer than RELEASED_AFTER_MILLIS, so a cut is bridged by the rest.
-     */
+    /** Six tenths of a grant of 9 s last for longer than RELEASED_AFTER_MILLIS. */
     private static final int USABLE_PERMILLE = 600;
 
-    /**
-     * Above the time in which a process that was killed serves again, with the age of its stamp.
-     */
+    /** Above the time in which a killed process serves again, with the age of its stamp. */
     private static final long RELEASED_AFTER_MILLIS = 3_500;
 
     private static final long ORPHAN_RETRY_MILLIS = 1_000;
