Prove by the fleet's clocks what was not used before a loss of power

Weighed: a longer proof by one VM's time of day (it may jump), the groups of the store (their times pause while it is down), heartbeats of endpoints (no new records while nothing changes). Taken: a holder's stamp counts after a restart of its VM if more than half of the fleet's VMs agreed with its clock when it was given, and agree with the successor's clock now; records from before the successor had caught up are no evidence. Half of a grant is usable while the log answers, all of it 4 s after the last stamp.

Four tests of SuccessionSystemTest are new; the one of the vote fails without the change.

--- a/core/src/main/java/org/bramleylatch/core/HolderRow.java
+++ b/core/src/main/java/org/bramleylatch/core/HolderRow.java
@@ -7,36 +7,61 @@
  * @param holder the process
  * @param bootMillis the time of day at which the steady clock of its VM was zero, by its own clock
  * @param stampMillis when it was last within its usable share, by its own clock; 0 if it was not
+ * @param clockAgreed true if most of the fleet's clocks agreed with its own then
  * @param succeeded true once a successor took back what it can't have used
  */
-public record HolderRow(Incarnation holder, long bootMillis, long stampMillis, boolean succeeded) {
+public record HolderRow(
+        Incarnation holder,
+        long bootMillis,
+        long stampMillis,
+        boolean clockAgreed,
+        boolean succeeded) {
     /** Two readings of one boot differ by less, unless the time of day was set in between. */
     private static final long SAME_BOOT_MILLIS = 200;
 
     /** Returns the row of a holder that was heard of. */
     static HolderRow of(LedgerRecord.HolderSeen seen) {
-        return new HolderRow(seen.holder(), seen.bootMillis(), seen.stampMillis(), false);
+        return new HolderRow(
+                seen.holder(), seen.bootMillis(), seen.stampMillis(), seen.clockAgreed(), false);
     }
 
     /** Returns the row after a successor took over. */
     HolderRow succeed() {
-        return new HolderRow(holder, bootMillis, stampMillis, true);
+        return new HolderRow(holder, bootMillis, stampMillis, clockAgreed, true);
     }
 
     /**
      * Returns true if the holder, which is known to be gone, ended within the given time of its
      * stamp. Both clocks follow the steady clock of one VM; where that was restarted or the time of
-     * day was set, nothing is proved.
+     * day was set, this proves nothing.
      *
-     * @param nowMillis the successor's time
+     * @param startMillis when the successor began, by its own clock
      * @param successorBootMillis the successor's reading of when the steady clock was zero
      */
-    boolean endedWithin(long spanMillis, long nowMillis, long successorBootMillis) {
+    boolean endedWithin(long spanMillis, long startMillis, long successorBootMillis) {
         boolean sameBoot = Math.abs(bootMillis - successorBootMillis) <= SAME_BOOT_MILLIS;
-        long sinceMillis = nowMillis - stampMillis;
+        long sinceMillis = startMillis - stampMillis;
         return stampMillis > 0
                 && sameBoot
                 && sinceMillis >= 0
                 && sinceMillis + SAME_BOOT_MILLIS < spanMillis;
     }
+
+    /**
+     * Returns true if the holder, which is known to be gone, ended within the given time of its
+     * stamp, by clocks that most of the fleet agreed with: the holder's then, the successor's now.
+     *
+     * @param toleranceMillis by how much each of the two may be wrong
+     */
+    boolean endedWithinByVote(long spanMillis, long startMillis, long toleranceMillis) {
+        long sinceMillis = startMillis - stampMillis;
+        return mayEndWithinByVote()
+                && sinceMillis >= -2 * toleranceMillis
+                && sinceMillis + 2 * toleranceMillis < spanMillis;
+    }
+
+    /** Returns true if the clocks of the fleet can still prove when the holder ended. */
+    boolean mayEndWithinByVote() {
+        return stampMillis > 0 && clockAgreed;
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/Incarnation.java
+++ b/core/src/main/java/org/bramleylatch/core/Incarnation.java
@@ -27,7 +27,8 @@
         return value.indexOf('@') > 0 && !equals(other) && place().equals(other.place());
     }
 
-    private String place() {
+    /** Returns what all runs of the process on its VM have in common; empty if there is nothing. */
+    String place() {
         return value.substring(0, Math.max(0, value.lastIndexOf('-')));
     }
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -3,13 +3,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bramleylatch.core.KeeperInput.AttemptNoted;
-import org.bramleylatch.core.KeeperInput.BootSeen;
 import org.bramleylatch.core.KeeperInput.EndpointReported;
 import org.bramleylatch.core.KeeperInput.FromLog;
 import org.bramleylatch.core.KeeperInput.FundsSeen;
 import org.bramleylatch.core.KeeperInput.IntentAsked;
 import org.bramleylatch.core.KeeperInput.IntentEnded;
 import org.bramleylatch.core.KeeperInput.MoveSeen;
+import org.bramleylatch.core.KeeperInput.ProcessBegan;
 import org.bramleylatch.core.KeeperInput.ReservationReleased;
 import org.bramleylatch.core.KeeperInput.ReserveAsked;
 import org.bramleylatch.core.KeeperInput.RouterLost;
@@ -50,7 +50,7 @@
                     .on(RouterLost.class, this::loseRouter)
                     .on(EndpointReported.class, this::settleOrphan)
                     .on(FundsSeen.class, this::fund)
-                    .on(BootSeen.class, this::boot)
+                    .on(ProcessBegan.class, this::begin)
                     .on(FromLog.class, input -> feed().apply(input.feed()))
                     .on(StopAsked.class, message -> stop());
         }
@@ -284,6 +284,7 @@
 
         private boolean fold(EntriesRead read) {
             read.entries().forEach(entry -> ReadBack.apply(world, entry));
+            read.entries().forEach(entry -> ClockVote.see(world, entry, nowMillis));
             return seeLog(new LogSeen(true));
         }
 
@@ -307,11 +308,14 @@
         private boolean catchUp() {
             world.setCaughtUp();
             world.ledger().budgets().keys().forEach(world.touched()::add);
+            if (limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE) {
+                world.append(UsableShareSystem.stamp(world, limits, nowMillis));
+            }
             return true;
         }
 
-        private boolean boot(BootSeen seen) {
-            world.setBootMillis(seen.bootMillis());
+        private boolean begin(ProcessBegan began) {
+            world.setBegin(began.bootMillis(), began.startMillis());
             return true;
         }
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -55,8 +55,13 @@
     /** The log tells something. */
     record FromLog(LedgerFeed feed) implements KeeperInput {}
 
-    /** The steady clock of the VM was zero at this time of day, by the keeper's own clock. */
-    record BootSeen(long bootMillis) implements KeeperInput {}
+    /**
+     * The process began.
+     *
+     * @param bootMillis the time of day at which the steady clock of the VM was zero
+     * @param startMillis the time of day at which this process began
+     */
+    record ProcessBegan(long bootMillis, long startMillis) implements KeeperInput {}
 
     /** The operator's configuration states what was paid into budgets. */
     record FundsSeen(List<BudgetFunds> funds) implements KeeperInput {
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -39,8 +39,8 @@
         boolean usageSummed) {
     private static final long DEMAND_HALF_LIFE_MILLIS = 10 * 60 * 1_000L;
 
-    /** A caller whose target is half a second is better refused than kept waiting longer. */
-    private static final long RESERVE_WAIT_MILLIS = 250;
+    /** Two rounds of an ask through the log; later a target of 300 ms can hardly be met. */
+    private static final long RESERVE_WAIT_MILLIS = 180;
 
     private static final long INTENT_WAIT_MILLIS = 2_000;
 
@@ -56,11 +56,11 @@
     /** A router that was cut off still bills what its requests used, if it is back by then. */
     private static final long ORPHAN_GRACE_MILLIS = 10_000;
 
-    /** Six tenths of a grant of 9 s last for longer than RELEASED_AFTER_MILLIS. */
-    private static final int USABLE_PERMILLE = 600;
+    /** Half of a grant of 9 s lasts for longer than RELEASED_AFTER_MILLIS. */
+    private static final int USABLE_PERMILLE = 500;
 
-    /** Above the time in which a killed process serves again, with the age of its stamp. */
-    private static final long RELEASED_AFTER_MILLIS = 3_500;
+    /** Above the time in which a VM that lost power runs again, with the age of the last stamp. */
+    private static final long RELEASED_AFTER_MILLIS = 4_000;
 
     private static final long ORPHAN_RETRY_MILLIS = 1_000;
     private static final long REVIEW_MILLIS = 1_000;
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimer.java
@@ -21,6 +21,9 @@
     /** A snapshot is due unless another keeper took one. */
     record SnapshotDue() implements KeeperTimer {}
 
+    /** No more clocks are waited for. */
+    record ClocksDue() implements KeeperTimer {}
+
     /** The holdings are due to be looked at. */
     record Review() implements KeeperTimer {}
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimers.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.bramleylatch.core.KeeperTimer.AppendDue;
+import org.bramleylatch.core.KeeperTimer.ClocksDue;
 import org.bramleylatch.core.KeeperTimer.IntentWait;
 import org.bramleylatch.core.KeeperTimer.MoveDeadline;
 import org.bramleylatch.core.KeeperTimer.OrphanRetry;
@@ -24,6 +25,7 @@
                         .on(MoveDeadline.class, due -> expire(world, due, nowMillis))
                         .on(SnapshotDue.class, due -> true)
                         .on(AppendDue.class, due -> true)
+                        .on(ClocksDue.class, due -> true)
                         .on(Review.class, due -> review(world, due, nowMillis));
         world.timers().takeDue(nowMillis).forEach(handlers::apply);
     }
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -1,6 +1,7 @@
 package org.bramleylatch.core;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -21,6 +22,8 @@
     private final Table<RouteName, Long> toldMoves = Table.empty();
     private final Set<BudgetId> touched = new HashSet<>();
     private final Set<Incarnation> freezing = new HashSet<>();
+    private final Set<Incarnation> predecessors = new LinkedHashSet<>();
+    private final Table<String, ClockRow> clocks = Table.empty();
     private final LogWriter writer = LogWriter.empty();
     private final Incarnation self;
     private Ledger ledger = Ledger.empty();
@@ -33,6 +36,7 @@
     private int usablePermille = UsableShareSystem.WHOLE_PERMILLE;
     private long stampMillis;
     private long bootMillis;
+    private long startMillis;
     private boolean stopping;
 
     private KeeperWorld(Incarnation self) {
@@ -142,8 +146,24 @@
         return bootMillis;
     }
 
-    void setBootMillis(long millis) {
-        bootMillis = millis;
+    /** Returns when this process began, by its own clock; earlier runs had ended by then. */
+    long startMillis() {
+        return startMillis;
+    }
+
+    void setBegin(long newBootMillis, long newStartMillis) {
+        bootMillis = newBootMillis;
+        startMillis = newStartMillis;
+    }
+
+    /** Returns how the clocks of the other VMs compare, by VM. */
+    Table<String, ClockRow> clocks() {
+        return clocks;
+    }
+
+    /** Returns the earlier runs of this process whose grants are still to be taken over. */
+    Set<Incarnation> predecessors() {
+        return predecessors;
     }
 
     boolean isCaughtUp() {
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -65,8 +65,9 @@
      * @param bootMillis when the steady clock of the VM was zero, by the writer's clock
      * @param stampMillis when the batch was made; 0 if the writer had bound more than its usable
      *     share of a grant
+     * @param clockAgreed true if most of the fleet's clocks agreed with the writer's
      */
-    record HolderSeen(Incarnation holder, long bootMillis, long stampMillis)
+    record HolderSeen(Incarnation holder, long bootMillis, long stampMillis, boolean clockAgreed)
             implements LedgerRecord {}
 
     /**
--- a/core/src/main/java/org/bramleylatch/core/LogWriter.java
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
+import org.bramleylatch.core.LedgerRecord.HolderSucceeded;
 import org.bramleylatch.core.LedgerRecord.IntentDeclared;
 import org.bramleylatch.core.LedgerRecord.SnapshotPart;
 import org.bramleylatch.core.LedgerRecord.UsageReported;
@@ -157,6 +158,9 @@
 
     private static boolean isUrgent(LedgerRecord record) {
         boolean awaited = record instanceof GrantAsked asked && asked.neededTokens() > 0;
-        return awaited || record instanceof GrantReturned || record instanceof IntentDeclared;
+        return awaited
+                || record instanceof GrantReturned
+                || record instanceof HolderSucceeded
+                || record instanceof IntentDeclared;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -201,30 +201,44 @@
         return beside.or(() -> Rendezvous.first(budget.value(), keepers));
     }
 
-    /** Returns the endpoints that may serve the request now, in order of their ids. */
+    /**
+     * Returns the endpoints that may serve the request now, in order of their ids. One that failed
+     * a request that may be repeated is asked again if there is no other.
+     */
     List<EndpointRow> candidates(RequestRow row, long nowMillis) {
         if (row.position() > 0 && !row.spec().route().terms().resumeAnywhere()) {
             return row.origin().flatMap(endpoints::find).stream().toList();
         }
-        return open(row, version(row), nowMillis);
+        List<EndpointRow> others = open(row, version(row), row.tried(), nowMillis);
+        boolean mayRepeat = row.ran() == RunState.RAN && row.spec().route().repeatable();
+        return others.isEmpty() && mayRepeat
+                ? open(row, version(row), Set.of(), nowMillis)
+                : others;
     }
 
     /** Returns the endpoints of the old version, if the request fell to one that is moved to. */
     List<EndpointRow> oldCandidates(RequestRow row, long nowMillis) {
         return moves.find(row.spec().route().name())
                 .filter(watch -> watch.move().isRunning() && row.position() == 0)
-                .map(watch -> open(row, Optional.of(watch.move().spec().from()), nowMillis))
+                .map(
+                        watch ->
+                                open(
+                                        row,
+                                        Optional.of(watch.move().spec().from()),
+                                        row.tried(),
+                                        nowMillis))
                 .orElse(List.of());
     }
 
-    private List<EndpointRow> open(RequestRow row, Optional<Version> version, long nowMillis) {
+    private List<EndpointRow> open(
+            RequestRow row, Optional<Version> version, Set<EndpointId> tried, long nowMillis) {
         List<EndpointRow> open =
                 new ArrayList<>(
                         endpoints.where(
                                 endpoint ->
                                         endpoint.backEnd().equals(row.spec().backEnd())
                                                 && endpoint.isOpen(nowMillis)
-                                                && !row.tried().contains(endpoint.id())
+                                                && !tried.contains(endpoint.id())
                                                 && version.filter(
                                                                 v -> !v.equals(endpoint.version()))
                                                         .isEmpty()));
--- a/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
@@ -5,10 +5,13 @@
 
 /**
  * Takes over the grants of earlier incarnations of this process on the same VM. That this one runs
- * is proof that they are gone. What they may have used stays bound; the rest goes back at once
- * where their last stamp proves that they kept to their usable share.
+ * is proof that they are gone. What they may have used stays bound; the rest goes back where their
+ * last stamp proves that they kept to their usable share: by the steady clock of the VM, or after a
+ * restart of the VM by the time of day that most of the fleet agrees on.
  */
 record SuccessionSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
+    /** VMs that lost power together are back within this. */
+    private static final long CLOCKS_WAIT_MILLIS = 3_000;
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
@@ -21,15 +24,29 @@
                             .filter(world.self()::succeeds)
                             .distinct()
                             .toList();
-            gone.forEach(holder -> succeed(world, holder, nowMillis));
+            gone.stream()
+                    .filter(holder -> !world.freezing().contains(holder))
+                    .forEach(world.predecessors()::add);
+            List.copyOf(world.predecessors()).forEach(holder -> decide(world, holder, nowMillis));
         }
     }
 
-    private void succeed(KeeperWorld world, Incarnation holder, long nowMillis) {
+    private void decide(KeeperWorld world, Incarnation holder, long nowMillis) {
+        Optional<HolderRow> row = world.ledger().holderRows().find(holder);
+        boolean proved = row.filter(found -> isWithinShare(world, found, nowMillis)).isPresent();
+        long endMillis = world.startMillis() + CLOCKS_WAIT_MILLIS;
+        boolean open = row.filter(HolderRow::mayEndWithinByVote).isPresent();
+        if (proved || !open || nowMillis >= endMillis) {
+            world.predecessors().remove(holder);
+            succeed(world, holder, row, proved);
+        } else {
+            world.timers().set(new KeeperTimer.ClocksDue(), endMillis);
+        }
+    }
+
+    private void succeed(
+            KeeperWorld world, Incarnation holder, Optional<HolderRow> row, boolean proved) {
         if (world.freezing().add(holder)) {
-            Optional<HolderRow> row = world.ledger().holderRows().find(holder);
-            boolean proved =
-                    row.filter(found -> isWithinShare(world, found, nowMillis)).isPresent();
             world.append(
                     proved
                             ? new LedgerRecord.HolderSucceeded(holder, limits.usablePermille())
@@ -42,7 +59,13 @@
     }
 
     private boolean isWithinShare(KeeperWorld world, HolderRow row, long nowMillis) {
+        long spanMillis = limits.releasedAfterMillis();
+        long startMillis = world.startMillis();
+        boolean bySteadyClock = row.endedWithin(spanMillis, startMillis, world.bootMillis());
+        boolean byVote =
+                row.endedWithinByVote(spanMillis, startMillis, ClockVote.TOLERANCE_MILLIS)
+                        && ClockVote.isWon(world, nowMillis);
         return limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE
-                && row.endedWithin(limits.releasedAfterMillis(), nowMillis, world.bootMillis());
+                && (bySteadyClock || byVote);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/UsableShareSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/UsableShareSystem.java
@@ -25,7 +25,10 @@
             world.setStampMillis(nowMillis);
         }
         return new LedgerRecord.HolderSeen(
-                world.self(), world.bootMillis(), within ? nowMillis : 0);
+                world.self(),
+                world.bootMillis(),
+                within ? nowMillis : 0,
+                ClockVote.isWon(world, nowMillis));
     }
 
     private static boolean isWithin(KeeperWorld world, HoldingRow row, int usablePermille) {
--- a/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
@@ -89,6 +89,19 @@
         assertThat(router.last(DeliverService.class).map(DeliverService::status)).contains(500);
     }
 
+    @Test
+    void aRequestThatMayBeRepeatedGoesToTheOnlyEndpointAgainAfterItsFailure() {
+        configure(route("stock", "/stock/", "ordnerei", true));
+        router.endpoints("ordnerei-1");
+        router.call(HOST, "/stock/7", KEY, 0, 0);
+        AttemptId first = router.last(StartAttempt.class).orElseThrow().attempt();
+        router.put(new RouterInput.ServiceAnswered(first, 500, "no"));
+        AttemptId second = router.last(StartAttempt.class).orElseThrow().attempt();
+        assertThat(second).isNotEqualTo(first);
+        router.put(new RouterInput.ServiceAnswered(second, 200, "12 bales"));
+        assertThat(router.last(DeliverService.class).map(DeliverService::status)).contains(200);
+    }
+
     @Test
     void aBrokenStreamGoesOnAtAnotherEndpoint() {
         AttemptId first = stream();
--- a/core/src/test/java/org/bramleylatch/core/KeeperCase.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperCase.java
@@ -55,6 +55,13 @@
         append(OPERATOR, List.of(new Numbered(operatorSequence, record)));
     }
 
+    /** Appends another process's record, whose clock is ahead of the keeper's by so much. */
+    void appendFrom(Incarnation writer, LedgerRecord record, long aheadMillis) {
+        LogEntry entry = new LogEntry(log.size(), nowMillis + aheadMillis, writer, 1, record);
+        log.add(entry);
+        put(new KeeperInput.FromLog(new LedgerFeed.EntriesRead(List.of(entry))));
+    }
+
     /** Lets the log stop or resume taking and answering appends. */
     void setAnswering(boolean isAnswering) {
         answering = isAnswering;
--- a/core/src/test/java/org/bramleylatch/core/SuccessionSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/SuccessionSystemTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.bramleylatch.core.KeeperOutput.ReserveGranted;
 import org.bramleylatch.core.KeeperOutput.ReserveRefused;
 import org.bramleylatch.core.LedgerRecord.BudgetFunded;
@@ -78,17 +79,62 @@
         assertThat(keeper.all(ReserveGranted.class)).hasSize(2);
     }
 
-    private void leave(long stampMillis, long bootMillis) {
+    @Test
+    void afterAllVmsLostPowerWhatWasLeftUnusedIsFreeAgainOnceMostClocksAgree() {
+        leave(START_MILLIS - 2_000, BOOT_MILLIS - 2_000, true);
+        List.of("front-2", "front-3", "front-4").forEach(vm -> others(vm, 0));
+        keeper.advance(100);
+        assertThat(left()).isEqualTo(200L * LIMITS.usablePermille() / 1_000);
+    }
+
+    @Test
+    void aClockThatMostOthersDisagreeWithProvesNothing() {
+        leave(START_MILLIS - 2_000, BOOT_MILLIS - 2_000, true);
+        List.of("front-2", "front-3", "front-4").forEach(vm -> others(vm, 2_000));
+        keeper.advance(10_000);
+        assertThat(left()).isEqualTo(200);
+    }
+
+    @Test
+    void aStampThatMostClocksDidNotAgreeWithProvesNothingAfterALossOfPower() {
+        leave(START_MILLIS - 2_000, BOOT_MILLIS - 2_000, false);
+        List.of("front-2", "front-3", "front-4").forEach(vm -> others(vm, 0));
+        keeper.advance(10_000);
+        assertThat(left()).isEqualTo(200);
+    }
+
+    @Test
+    void whatWasWrittenBeforeTheStartIsNoWitnessOfTheTime() {
         fund();
         keeper.operate(new GrantAsked(BUDGET, PREDECESSOR, 200, 0, 0));
-        keeper.operate(new HolderSeen(PREDECESSOR, bootMillis, stampMillis));
+        keeper.operate(
+                new HolderSeen(PREDECESSOR, BOOT_MILLIS - 2_000, START_MILLIS - 2_000, true));
+        List.of("front-2", "front-3", "front-4").forEach(vm -> others(vm, 0));
         keeper.put(new KeeperInput.FromLog(new LedgerFeed.CaughtUp()));
+        keeper.advance(10_000);
+        assertThat(left()).isEqualTo(200);
+    }
+
+    private void others(String vm, long aheadMillis) {
+        Incarnation other = Incarnation.of("keeper@" + vm + "-run");
+        keeper.appendFrom(other, new HolderSeen(other, BOOT_MILLIS, 0, false), aheadMillis);
+    }
+
+    private void leave(long stampMillis, long bootMillis) {
+        leave(stampMillis, bootMillis, false);
         keeper.advance(2_000);
         keeper.advance(2_000);
     }
 
+    private void leave(long stampMillis, long bootMillis, boolean clockAgreed) {
+        fund();
+        keeper.operate(new GrantAsked(BUDGET, PREDECESSOR, 200, 0, 0));
+        keeper.operate(new HolderSeen(PREDECESSOR, bootMillis, stampMillis, clockAgreed));
+        keeper.put(new KeeperInput.FromLog(new LedgerFeed.CaughtUp()));
+    }
+
     private void fund() {
-        keeper.put(new KeeperInput.BootSeen(BOOT_MILLIS));
+        keeper.put(new KeeperInput.ProcessBegan(BOOT_MILLIS, START_MILLIS));
         keeper.put(new KeeperInput.FromLog(new LedgerFeed.LogSeen(true)));
         keeper.operate(new BudgetFunded(BUDGET, 1_000));
     }
--- a/edge/src/main/java/org/bramleylatch/edge/MonotonicClock.java
+++ b/edge/src/main/java/org/bramleylatch/edge/MonotonicClock.java
@@ -31,6 +31,11 @@
         return startMillis - TimeUnit.NANOSECONDS.toMillis(startNanos);
     }
 
+    /** Returns the time of day at which this clock was made, in milliseconds. */
+    public long startMillis() {
+        return startMillis;
+    }
+
     @Override
     public Instant instant() {
         return Instant.ofEpochMilli(millis());
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.RetryAdvice;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.edge.Problem;
 import org.bramleylatch.platform.CallHead;
@@ -20,7 +21,7 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int BAD_GATEWAY = 502;
-    private static final String RETRY_AFTER_SECONDS = "0.3";
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final HttpServerRequest request;
     private final CallHead head;
@@ -98,7 +99,8 @@
         }
         int status = status(code, ran);
         if (status == UNAVAILABLE) {
-            response().putHeader("retry-after", RETRY_AFTER_SECONDS);
+            double seconds = RetryAdvice.afterMillis(code) / MILLIS_PER_SECOND;
+            response().putHeader("retry-after", Double.toString(seconds));
         }
         response().setStatusCode(status).putHeader("content-type", "application/problem+json");
         end(Buffer.buffer(Json.write(Problem.of(code, ran, detail))), close);
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -215,7 +215,7 @@
         Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
         note(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
         routerLoop.offer(new RouterInput.KeeperBeside(keeper));
-        keeperLoop.offer(new KeeperInput.BootSeen(clock.bootMillis()));
+        keeperLoop.offer(new KeeperInput.ProcessBegan(clock.bootMillis(), clock.startMillis()));
         keeperLoop.offer(new KeeperInput.RouterSeen(router));
         follow();
         Router ops = Router.router(vertx);
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -1,5 +1,7 @@
 package org.bramleylatch.gateway;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.concurrent.CompletionException;
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.edge.Build;
@@ -22,7 +24,7 @@
     @Option(name = "--boot", metaVar = "FILE", usage = "the platform's boot file")
     private String boot = BootFile.path();
 
-    @Option(name = "--rehearse", usage = "start on loopback, ask a few things and exit")
+    @Option(name = "--rehearse", usage = "serve a few requests on loopback and exit")
     private boolean rehearse;
 
     @Option(name = "--help", aliases = "-h", help = true, usage = "print this and exit")
@@ -69,6 +71,8 @@
             System.exit(0);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
+        } catch (IOException noPort) {
+            throw new UncheckedIOException(noPort);
         }
     }
 
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
@@ -18,6 +18,7 @@
 import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.platform.BootFile;
 import org.bramleylatch.platform.Bounds;
+import org.bramleylatch.platform.LoopbackStore;
 import org.bramleylatch.wire.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -43,12 +44,12 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final List<HttpServerRequest> seen = new CopyOnWriteArrayList<>();
-    private StoreStandin store;
+    private LoopbackStore store;
     private GatewayDaemon gateway;
 
     @BeforeEach
     void start() throws Exception {
-        store = new StoreStandin(vertx);
+        store = LoopbackStore.start(vertx).join();
         Address any = new Address(LOOPBACK, 0);
         BootFile boot =
                 new BootFile(
@@ -165,7 +166,7 @@
     }
 
     private void ready() throws Exception {
-        store.put("keyed.op", "config", CONFIG);
+        store.putConfiguration(CONFIG);
         int port = gateway.ports().get(1);
         while (get(port, "/ready").status() != 200) {
             TimeUnit.MILLISECONDS.sleep(20);
@@ -189,15 +190,7 @@
                         .toCompletionStage()
                         .toCompletableFuture()
                         .get(DEADLINE_SECONDS, TimeUnit.SECONDS);
-        store.put(
-                "keyed.servers",
-                id,
-                "{\"service\":\""
-                        + service
-                        + "\",\"address\":\"127.0.0.1:"
-                        + server.actualPort()
-                        + "\",\"zone\":\"langnau\",\"version\":\"v1\",\"slots\":4,"
-                        + "\"state\":\"ready\",\"seq\":1}");
+        store.putEndpoint(id, service, new Address(LOOPBACK, server.actualPort()));
     }
 
     private static HttpServerResponse sealed(HttpServerRequest request) {
