Bill only what was delivered; start sooner

Ruled out: billing in full and refunding later (nobody can tell later what ran).

Change: on the platform's routes a prompt of which nothing came back is free; the product's own routes bill it as before (test unchanged).

--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -67,8 +67,8 @@
     private static final int MOST_RECORDS = 500;
     private static final int SNAPSHOT_EVERY_RECORDS = 20_000;
 
-    /** An operator who looks at a budget sees it as it was seconds ago. */
-    private static final long SNAPSHOT_EVERY_MILLIS = 5_000;
+    /** A restarted process reads what came since, which keeps its callers waiting. */
+    private static final long SNAPSHOT_EVERY_MILLIS = 2_000;
 
     /** A reader that missed one snapshot still finds the next. */
     private static final long SNAPSHOTS_KEPT = 4;
--- a/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
@@ -70,6 +70,14 @@
         return scanning ? scan(earliest, entries) : follow(entries);
     }
 
+    /** Notes that a scan found no part of a snapshot before the offset. */
+    public void scanned(long offset) {
+        if (scanning) {
+            scanOffset = Math.max(scanOffset, offset);
+            endSearchAtItsEnd();
+        }
+    }
+
     private List<LedgerFeed> follow(List<LogEntry> entries) {
         List<LogEntry> fresh = entries.stream().filter(e -> e.offset() >= nextOffset).toList();
         if (fresh.isEmpty()) {
@@ -89,10 +97,14 @@
                 return List.of(new LedgerFeed.SnapshotLoaded(image.get()));
             }
         }
+        endSearchAtItsEnd();
+        return List.of();
+    }
+
+    private void endSearchAtItsEnd() {
         if (searchEndOffset.isPresent() && scanOffset >= searchEndOffset.getAsLong()) {
             endScan();
         }
-        return List.of();
     }
 
     private void endScan() {
--- a/core/src/main/java/org/bramleylatch/core/Outcomes.java
+++ b/core/src/main/java/org/bramleylatch/core/Outcomes.java
@@ -92,8 +92,10 @@
     }
 
     private static void billDelivered(RouterWorld world, RequestRow row) {
-        long tokens =
-                row.ran() == RunState.NOT_RUN ? 0 : row.spec().promptTokens() + row.position();
+        boolean free =
+                row.ran() == RunState.NOT_RUN
+                        || row.position() == 0 && !row.spec().route().terms().billsUnanswered();
+        long tokens = free ? 0 : row.spec().promptTokens() + row.position();
         if (tokens > 0 && row.grant().isPresent()) {
             Settlements.open(world, row, tokens, Optional.empty());
         } else {
--- a/core/src/main/java/org/bramleylatch/core/RouteTerms.java
+++ b/core/src/main/java/org/bramleylatch/core/RouteTerms.java
@@ -13,6 +13,8 @@
  * @param resumeAnywhere true if a broken stream may go on at another endpoint
  * @param waitsOutSilence true if a silent endpoint is waited for until the deadline where the
  *     request can't be sent again
+ * @param billsUnanswered true if a prompt that an endpoint may have read is billed although no
+ *     token came back
  * @param mostAttempts how many endpoints one request may be sent to
  * @param priority its rank; 0 is the most urgent
  * @param timeoutMillis the longest that a caller is kept waiting; 0 for no bound
@@ -25,6 +27,7 @@
         boolean claimed,
         boolean resumeAnywhere,
         boolean waitsOutSilence,
+        boolean billsUnanswered,
         int mostAttempts,
         int priority,
         long timeoutMillis,
@@ -33,7 +36,17 @@
     private static final int MOST_ATTEMPTS = 3;
     private static final RouteTerms STANDARD =
             new RouteTerms(
-                    Optional.empty(), false, true, false, false, MOST_ATTEMPTS, 0, 0, 0, List.of());
+                    Optional.empty(),
+                    false,
+                    true,
+                    false,
+                    false,
+                    true,
+                    MOST_ATTEMPTS,
+                    0,
+                    0,
+                    0,
+                    List.of());
 
     /** Copies the list. */
     public RouteTerms {
--- a/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
@@ -17,6 +17,7 @@
     private static final Incarnation OTHER_LENDER = Incarnation.of("keeper@front-3-1");
     private static final RouterLimits LIMITS = RouterLimits.besideKeeper(8, 0, 10_000);
 
+    private boolean billsUnanswered = true;
     private final RouterCase router = new RouterCase(Placement.bySharedPrefix(), LIMITS);
 
     @Test
@@ -126,6 +127,17 @@
                 .containsExactly(100L);
     }
 
+    @Test
+    void aPromptOfWhichNothingCameBackIsFreeWhereOnlyWhatWasDeliveredIsBilled() {
+        billsUnanswered = false;
+        AttemptId first = stream();
+        router.put(new RouterInput.AttemptFailed(first, RunState.UNKNOWN, "reset"));
+        AttemptId second = router.last(StartAttempt.class).orElseThrow().attempt();
+        router.put(new RouterInput.AttemptFailed(second, RunState.UNKNOWN, "reset"));
+        assertThat(router.toKeepers(KeeperInput.UsageGiven.class)).isEmpty();
+        assertThat(router.toKeepers(KeeperInput.ReservationReleased.class)).hasSize(1);
+    }
+
     @Test
     void aRequestThatItsKeeperLacksTokensForIsLentThemByAnother() {
         RequestKey key = lacksTokens(List.of(LENDER, OTHER_LENDER));
@@ -194,10 +206,20 @@
         return List.of(new MemberRow("digest", RouterCase.BUDGET, "workspace"));
     }
 
-    private static RouteRow route(String name, String prefix, String backEnd, boolean repeatable) {
+    private RouteRow route(String name, String prefix, String backEnd, boolean repeatable) {
         RouteTerms terms =
                 new RouteTerms(
-                        Optional.of(HOST), false, false, true, true, 2, 0, 0, 400, List.of());
+                        Optional.of(HOST),
+                        false,
+                        false,
+                        true,
+                        true,
+                        billsUnanswered,
+                        2,
+                        0,
+                        0,
+                        400,
+                        List.of());
         return new RouteRow(
                 RouteName.of(name),
                 backEnd.equals("ordnerei") ? RouteKind.SERVICE : RouteKind.CHAT,
--- a/core/src/test/java/org/bramleylatch/core/LedgerCursorTest.java
+++ b/core/src/test/java/org/bramleylatch/core/LedgerCursorTest.java
@@ -40,6 +40,16 @@
         assertThat(cursor.readOffset()).isEqualTo(4);
     }
 
+    @Test
+    void aSearchThatPassedOverEverythingBeginsAnewAtTheFirstRecord() {
+        cursor.searchFrom(2, 6);
+        cursor.scanned(4);
+        assertThat(cursor.readOffset()).isEqualTo(4);
+        cursor.scanned(6);
+        assertThat(cursor.isScanning()).isFalse();
+        assertThat(cursor.readOffset()).isZero();
+    }
+
     @Test
     void aSnapshotWhoseTailIsGoneIsOfNoUse() {
         create(4);
--- a/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -99,8 +99,16 @@
     }
 
     private void take(LogPage page) {
-        List<LogEntry> entries = page.records().stream().map(AccountStream::decode).toList();
+        boolean scanning = cursor.isScanning();
+        List<LogEntry> entries =
+                page.records().stream()
+                        .filter(item -> !scanning || WireEntry.mayBeSnapshot(item.d()))
+                        .map(AccountStream::decode)
+                        .toList();
         cursor.take(page.earliest(), entries).forEach(world);
+        if (scanning && !page.records().isEmpty()) {
+            cursor.scanned(page.records().get(page.records().size() - 1).o() + 1);
+        }
         if (!caughtUp && !cursor.isScanning() && cursor.readOffset() >= page.next()) {
             caughtUp = true;
             world.accept(new LedgerFeed.CaughtUp());
--- a/edge/src/main/java/org/bramleylatch/edge/Ops.java
+++ b/edge/src/main/java/org/bramleylatch/edge/Ops.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 
 /** Serves what operators' tools ask every daemon: metrics, health and readiness. */
@@ -24,8 +25,16 @@
      * @param ready tells whether new work is welcome; false while draining
      */
     public static void mount(Router router, PrometheusRegistry registry, BooleanSupplier ready) {
-        JvmMetrics.builder().register(registry);
-        router.get("/metrics").handler(call -> writeMetrics(call, registry));
+        AtomicBoolean asked = new AtomicBoolean();
+        router.get("/metrics")
+                .handler(
+                        call -> {
+                            // Beans of the runtime take long to load, and no start needs them.
+                            if (asked.compareAndSet(false, true)) {
+                                JvmMetrics.builder().register(registry);
+                            }
+                            writeMetrics(call, registry);
+                        });
         router.get("/healthz").handler(call -> call.response().setStatusCode(OK).end("ok\n"));
         router.get("/readyz").handler(call -> writeReady(call, ready.getAsBoolean()));
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -38,17 +38,28 @@
     /** Runs until the process is asked to stop. */
     public static void main(String[] arguments) {
         GatewayMain main = new GatewayMain();
-        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            // A restart after a loss of power is sooner done without a parser.
+            if (arguments.length == 0) {
+                main.start();
+            } else {
+                main.parse(arguments);
+            }
+        } catch (ResultException | CompletionException failure) {
+            System.err.println(NAME + ": " + failure.getMessage());
+            System.exit(FAILED);
+        }
+    }
+
+    private void parse(String[] arguments) {
+        CmdLineParser parser = new CmdLineParser(this);
         try {
             parser.parseArgument(arguments);
-            main.run(parser);
+            run(parser);
         } catch (CmdLineException wrong) {
             System.err.println(NAME + ": " + wrong.getMessage());
             parser.printUsage(System.err);
             System.exit(USAGE);
-        } catch (ResultException | CompletionException failure) {
-            System.err.println(NAME + ": " + failure.getMessage());
-            System.exit(FAILED);
         }
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/Rehearsal.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bramleylatch.core.Zone;
 import org.bramleylatch.edge.MonotonicClock;
@@ -27,6 +28,9 @@
     /** Enough for a configuration, a grant and a snapshot to make their way through the store. */
     private static final long SETTLE_MILLIS = 1_500;
 
+    /** Far above what any call on loopback takes. */
+    private static final long MOST_SECONDS = 10;
+
     private static final int ROUNDS = 3;
     private static final int ANY_PORT = 0;
 
@@ -41,17 +45,24 @@
                             .join();
             TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
             for (int round = 0; round < ROUNDS; round++) {
-                platform.paths().forEach(path -> callAll(platform, daemon, path));
+                platform.paths().forEach(path -> await(platform.call(callers(daemon), path)));
+                daemon.ports().forEach(port -> await(platform.look(port, "/ready")));
+                daemon.ports().forEach(port -> await(platform.look(port, "/metrics")));
             }
             TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
             if (vm.equals(VMS.get(VMS.size() - 1))) {
-                daemon.stop().join();
+                await(daemon.stop());
             }
         }
     }
 
-    private static void callAll(LoopbackPlatform platform, GatewayDaemon daemon, String path) {
-        daemon.ports().forEach(port -> platform.call(port, path).join());
+    private static int callers(GatewayDaemon daemon) {
+        return daemon.ports().get(0);
+    }
+
+    /** Waits for a bounded time, as the build waits for the rehearsal. */
+    private static void await(CompletableFuture<?> done) {
+        done.orTimeout(MOST_SECONDS, TimeUnit.SECONDS).join();
     }
 
     private static BootFile boot(String vm, LoopbackPlatform platform) throws IOException {
--- a/wire/src/test/java/org/bramleylatch/wire/WireEntryTest.java
+++ b/wire/src/test/java/org/bramleylatch/wire/WireEntryTest.java
@@ -37,6 +37,14 @@
         assertThat(WireEntry.decode(9, 13, text)).isEqualTo(new LogEntry(9, 13, WRITER, 5, record));
     }
 
+    @ParameterizedTest
+    @MethodSource("records")
+    void onlyPartsOfSnapshotsAreWorthDecodingInASearchForOne(LedgerRecord record) {
+        String text = WireEntry.encode(WRITER, new Numbered(5, record));
+        assertThat(WireEntry.mayBeSnapshot(text))
+                .isEqualTo(record instanceof LedgerRecord.SnapshotPart);
+    }
+
     static List<LedgerRecord> records() {
         return List.of(
                 new LedgerRecord.BudgetCreated(BUDGET, "workspace"),
@@ -45,6 +53,8 @@
                 new LedgerRecord.UsageReported(BUDGET, WRITER, List.of(Usage.of(KEY, 3))),
                 new LedgerRecord.GrantReturned(BUDGET, WRITER, 4),
                 new LedgerRecord.HolderFrozen(WRITER),
+                new LedgerRecord.HolderSeen(WRITER, 7, 9, true),
+                new LedgerRecord.HolderSucceeded(WRITER, 500),
                 new LedgerRecord.FrozenReleased(BUDGET, WRITER, "operators"),
                 new LedgerRecord.IntentDeclared(KEY, WRITER, BUDGET),
                 new LedgerRecord.IntentFinished(KEY, WRITER, RunState.RAN, 201, "{\"a\":1}"),
