--- a/core/src/main/java/org/bramleylatch/core/AppendSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/AppendSystem.java
@@ -7,6 +7,10 @@
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
+        if (isStamped() && world.isLogLost() && !world.writer().isInFlight()) {
+            // A new stamp would put off the time at which all of a grant may be used.
+            return;
+        }
         world.writer()
                 .takeDue(nowMillis, limits, () -> head(world, nowMillis))
                 .map(KeeperOutput.AppendBatch::new)
@@ -16,8 +20,12 @@
                 .ifPresent(millis -> world.timers().set(new KeeperTimer.AppendDue(), millis));
     }
 
+    private boolean isStamped() {
+        return limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE;
+    }
+
     private Optional<LedgerRecord> head(KeeperWorld world, long nowMillis) {
-        return limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE
+        return isStamped()
                 ? Optional.of(UsableShareSystem.stamp(world, limits, nowMillis))
                 : Optional.empty();
     }
--- a/core/src/main/java/org/bramleylatch/core/GrantSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantSystem.java
@@ -61,10 +61,20 @@
         if (plan.askTokens() > 0) {
             ask(world, budget, plan.askTokens(), demandPerHour);
         } else if (plan.returnTokens() > 0) {
-            giveBack(world, budget, plan.returnTokens());
+            long tokens = Math.min(plan.returnTokens(), spareTokens(world, budget));
+            if (tokens > 0) {
+                giveBack(world, budget, tokens);
+            }
         }
     }
 
+    /** Returns what can be given back so that what is bound stays within the usable share. */
+    private static long spareTokens(KeeperWorld world, BudgetId budget) {
+        long whole = UsableShareSystem.WHOLE_PERMILLE;
+        long bound = world.openTokens(budget) - world.idleTokens(budget);
+        return world.openTokens(budget) + Math.floorDiv(-bound * whole, world.usablePermille());
+    }
+
     private static void ask(KeeperWorld world, BudgetId budget, long tokens, long demandPerHour) {
         long needed = missingTokens(world, budget);
         world.append(
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -25,6 +25,9 @@
 
 /** Puts what arrived into the keeper's tables. */
 record KeeperInbox(KeeperLimits limits) implements TickSystem<KeeperWorld> {
+    /** A round through the log, and less than the time that a router waits for a lender. */
+    private static final long LEND_WAIT_MILLIS = 120;
+
     private static final int MOST_MESSAGES = 2_000;
 
     @Override
@@ -80,33 +83,48 @@
             if (lost.isPresent()) {
                 return adopt(ask, lost.get());
             }
-            world.waiting().put(ask.key(), row(ask));
+            demand(ask);
+            return wait(row(ask), limits.reserveWaitMillis());
+        }
+
+        private void demand(ReserveAsked ask) {
             HoldingRow holding =
                     world.holding(ask.budget(), nowMillis, limits.demandHalfLifeMillis());
             world.holdings().put(ask.budget(), holding.demanded(ask.tokens(), nowMillis));
-            KeeperTimer wait = new KeeperTimer.ReserveWait(ask.key());
-            world.timers().set(wait, nowMillis + limits.reserveWaitMillis());
+            world.touched().add(ask.budget());
             armReview();
-            return world.touched().add(ask.budget());
+        }
+
+        private boolean wait(ReservationRow row, long mostMillis) {
+            world.waiting().put(row.key(), row);
+            world.timers().set(new KeeperTimer.ReserveWait(row.key()), nowMillis + mostMillis);
+            return true;
         }
 
         private static ReservationRow row(ReserveAsked ask) {
             return ReservationRow.of(ask.key(), ask.router(), ask.budget(), ask.tokens());
         }
 
-        /** Sets tokens aside for a router whose own keeper lacks them, if there are enough. */
+        /**
+         * Sets tokens aside for a router whose own keeper lacks them. What is asked for counts as
+         * demand, so that a keeper with the log gets tokens for those without; where the log has
+         * enough, the router waits for them.
+         */
         private boolean lend(ReserveAsked ask) {
             ReservationRow row = row(ask);
+            demand(ask);
             if (world.availableTokens(ask.budget()) < ask.tokens()) {
+                if (!world.isLogLost() && ReservingSystem.isFree(world, row)) {
+                    return wait(row, LEND_WAIT_MILLIS);
+                }
                 world.outbox()
                         .add(
                                 new KeeperOutput.ReserveRefused(
                                         ask.router(), ask.key(), ResultCode.BUDGET_UNAVAILABLE));
                 return false;
             }
-            world.holding(ask.budget(), nowMillis, limits.demandHalfLifeMillis());
             ReservingSystem.grant(world, row);
-            return world.touched().add(ask.budget());
+            return true;
         }
 
         private boolean adopt(ReserveAsked ask, ReservationRow lost) {
--- a/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
@@ -12,10 +12,14 @@
     /** Asks the platform for the oldest record that it keeps. */
     public static final long EARLIEST = -1;
 
+    /** Few rounds reach a snapshot in a fleet of any size, and little is read in vain. */
+    private static final long WIDER = 4;
+
     private final SnapshotAssembly assembly = SnapshotAssembly.empty();
     private long nextOffset;
     private long scanOffset = EARLIEST;
     private boolean scanning;
+    private long searchedRecords;
     private OptionalLong searchEndOffset = OptionalLong.empty();
 
     private LedgerCursor() {}
@@ -36,8 +40,9 @@
     }
 
     /**
-     * Begins with the newest snapshot behind the given offset. If there is none up to the end of
-     * the stream, reading begins anew at its first record.
+     * Begins with a snapshot behind the given offset. If there is none up to the end of the stream,
+     * four times as many records are searched; if that is all of it, reading begins anew at its
+     * first record.
      *
      * @param offset where to look from
      * @param endOffset the end of the stream
@@ -45,6 +50,7 @@
     public void searchFrom(long offset, long endOffset) {
         scanning = true;
         scanOffset = offset;
+        searchedRecords = endOffset - offset;
         searchEndOffset = OptionalLong.of(endOffset);
     }
 
@@ -101,9 +107,16 @@
         return List.of();
     }
 
+    /** Looks further back once the part that was searched holds no snapshot. */
     private void endSearchAtItsEnd() {
         if (searchEndOffset.isPresent() && scanOffset >= searchEndOffset.getAsLong()) {
-            endScan();
+            searchedRecords *= WIDER;
+            long offset = searchEndOffset.getAsLong() - searchedRecords;
+            if (offset > 0) {
+                scanOffset = offset;
+            } else {
+                endScan();
+            }
         }
     }
 
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -228,10 +228,17 @@
         if (isSucceeded(record.holder())) {
             return Optional.of(ResultCode.GRANT_UNKNOWN);
         }
-        ledger.holderRows().update(record.holder(), HolderRow::succeed);
+        Optional<HolderRow> row = ledger.holderRows().update(record.holder(), HolderRow::succeed);
+        List<BudgetId> beyond = row.map(HolderRow::beyondShare).orElse(List.of());
         List<GrantKey> held =
                 ledger.grants().keys().filter(k -> k.holder().equals(record.holder())).toList();
-        held.forEach(key -> giveBackUnused(key, record.usedPermille()));
+        held.forEach(
+                key ->
+                        giveBackUnused(
+                                key,
+                                beyond.contains(key.budget())
+                                        ? WHOLE_PERMILLE
+                                        : record.usedPermille()));
         return ACCEPTED;
     }
 
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -63,12 +63,24 @@
      * Says at the head of each batch what its writer's successor needs to know.
      *
      * @param bootMillis when the steady clock of the VM was zero, by the writer's clock
-     * @param stampMillis when the batch was made; 0 if the writer had bound more than its usable
-     *     share of a grant
+     * @param stampMillis when the batch was made
      * @param clockAgreed true if most of the fleet's clocks agreed with the writer's
+     * @param beyondShare the budgets of whose grants the writer had bound more than its usable
+     *     share
      */
-    record HolderSeen(Incarnation holder, long bootMillis, long stampMillis, boolean clockAgreed)
-            implements LedgerRecord {}
+    record HolderSeen(
+            Incarnation holder,
+            long bootMillis,
+            long stampMillis,
+            boolean clockAgreed,
+            List<BudgetId> beyondShare)
+            implements LedgerRecord {
+
+        /** Copies the list. */
+        public HolderSeen {
+            beyondShare = List.copyOf(beyondShare);
+        }
+    }
 
     /**
      * Ends a holder whose successor proved that it used no more than a share of its grants; the
--- a/core/src/main/java/org/bramleylatch/core/LogWriter.java
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -40,6 +40,11 @@
         return new LogWriter();
     }
 
+    /** Returns true while a batch has not been read back. */
+    boolean isInFlight() {
+        return !inFlight.isEmpty();
+    }
+
     /** Queues a record. */
     public void add(LedgerRecord record) {
         queue.add(record);
--- a/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
@@ -2,12 +2,16 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** Sets tokens aside for requests that wait, as far as the own grants go. */
 record ReservingSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
     /** So many round trips to others still fit into a caller's target. */
     private static final int MOST_LENDERS = 8;
 
+    /** A large odd number, so that like names come in unlike orders. */
+    private static final long SPREAD = 0x9E3779B97F4A7C15L;
+
     private static final Comparator<ReservationRow> BY_AGE =
             Comparator.<ReservationRow>comparingLong(row -> row.key().issuedMillis())
                     .thenComparing(row -> row.key().toString());
@@ -60,23 +64,42 @@
                 && (world.isLogLost() || !isFree(world, row) && !lenders(world, row).isEmpty());
     }
 
-    private static boolean isFree(KeeperWorld world, ReservationRow row) {
+    /** Returns true if the log has enough free tokens for the request. */
+    static boolean isFree(KeeperWorld world, ReservationRow row) {
         long free =
                 world.ledger().budgets().find(row.budget()).map(BudgetRow::freeTokens).orElse(0L);
         long usable = free * world.usablePermille() / UsableShareSystem.WHOLE_PERMILLE;
         return usable + world.availableTokens(row.budget()) >= row.tokens();
     }
 
+    /** Returns who seems to hold enough, then, without the log, all others: they may have it. */
     private static List<Incarnation> lenders(KeeperWorld world, ReservationRow row) {
-        return world.ledger().grantsOf(row.budget()).stream()
-                .filter(grant -> !grant.frozen() && grant.openTokens() >= row.tokens())
-                .filter(grant -> !grant.key().holder().equals(world.self()))
-                .sorted(Comparator.comparingLong(GrantRow::openTokens).reversed())
+        Stream<Incarnation> rich =
+                world.ledger().grantsOf(row.budget()).stream()
+                        .filter(grant -> !grant.frozen() && grant.openTokens() >= row.tokens())
+                        .sorted(Comparator.comparingLong(GrantRow::openTokens).reversed())
+                        .map(grant -> grant.key().holder());
+        Stream<Incarnation> others =
+                world.isLogLost()
+                        ? world.ledger()
+                                .holderRows()
+                                .rows()
+                                .filter(holder -> !holder.succeeded())
+                                .map(HolderRow::holder)
+                                .sorted(Comparator.comparing(other -> turn(row, other)))
+                        : Stream.empty();
+        return Stream.concat(rich, others)
+                .filter(holder -> !holder.equals(world.self()))
+                .distinct()
                 .limit(MOST_LENDERS)
-                .map(grant -> grant.key().holder())
                 .toList();
     }
 
+    /** Spreads requests over lenders that nothing is known of. */
+    private static long turn(ReservationRow row, Incarnation lender) {
+        return row.key().low() ^ lender.hashCode() * SPREAD;
+    }
+
     static void grant(KeeperWorld world, ReservationRow row) {
         Reservations.hold(world, row);
         GrantKey grant = GrantKey.of(row.budget(), world.self());
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -49,8 +49,8 @@
     /** Entries of live endpoints are back within 2 s of the registry's return. */
     private static final long REGISTRY_SETTLE_MILLIS = 2_300;
 
-    /** A few round trips between zones, so that a keeper behind a partition is passed over. */
-    private static final long LEND_MILLIS = 60;
+    /** What a lender may wait for the log, and a few round trips between zones. */
+    private static final long LEND_MILLIS = 160;
 
     /** Returns the limits for the sizes of today. */
     public static RouterLimits standard() {
--- a/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
@@ -35,7 +35,7 @@
         Optional<HolderRow> row = world.ledger().holderRows().find(holder);
         boolean proved = row.filter(found -> isWithinShare(world, found, nowMillis)).isPresent();
         long endMillis = world.startMillis() + CLOCKS_WAIT_MILLIS;
-        boolean open = row.filter(HolderRow::mayEndWithinByVote).isPresent();
+        boolean open = row.filter(HolderRow::clockAgreed).isPresent();
         if (proved || !open || nowMillis >= endMillis) {
             world.predecessors().remove(holder);
             succeed(world, holder, row, proved);
--- a/core/src/main/java/org/bramleylatch/core/UsableShareSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/UsableShareSystem.java
@@ -1,5 +1,7 @@
 package org.bramleylatch.core;
 
+import java.util.List;
+
 /**
  * Decides how much of its grants a keeper may use. While the log answers it keeps to a share, so
  * that a successor can give back the rest. Once the log has been away for so long that no successor
@@ -17,18 +19,20 @@
 
     /** Returns what the keeper says of itself at the head of a batch; notes the stamp it gives. */
     static LedgerRecord stamp(KeeperWorld world, KeeperLimits limits, long nowMillis) {
-        boolean within =
+        List<BudgetId> beyond =
                 world.holdings()
                         .rows()
-                        .allMatch(row -> isWithin(world, row, limits.usablePermille()));
-        if (within) {
-            world.setStampMillis(nowMillis);
-        }
+                        .filter(row -> !isWithin(world, row, limits.usablePermille()))
+                        .map(HoldingRow::budget)
+                        .sorted()
+                        .toList();
+        world.setStampMillis(nowMillis);
         return new LedgerRecord.HolderSeen(
                 world.self(),
                 world.bootMillis(),
-                within ? nowMillis : 0,
-                ClockVote.isWon(world, nowMillis));
+                nowMillis,
+                ClockVote.isWon(world, nowMillis),
+                beyond);
     }
 
     private static boolean isWithin(KeeperWorld world, HoldingRow row, int usablePermille) {
--- a/core/src/test/java/org/bramleylatch/core/KeeperBesideRouterTest.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperBesideRouterTest.java
@@ -92,6 +92,29 @@
                 .contains(KeeperCase.OTHER_ROUTER);
     }
 
+    @Test
+    void whatOthersAskForIsFetchedFromTheLogAndCountsAsDemand() {
+        fund(100_000);
+        keeper.reserve(ROUTER, ONE, 100);
+        long before = keeper.world.openTokens(BUDGET);
+        keeper.put(new KeeperInput.ReserveAsked(KeeperCase.OTHER_ROUTER, TWO, BUDGET, 9_000, true));
+        assertThat(keeper.last(ReserveGranted.class).map(ReserveGranted::router)).contains(ROUTER);
+        keeper.advance(100);
+        assertThat(keeper.last(ReserveGranted.class).map(ReserveGranted::router))
+                .contains(KeeperCase.OTHER_ROUTER);
+        assertThat(keeper.world.openTokens(BUDGET)).isGreaterThan(before + 9_000);
+    }
+
+    @Test
+    void aKeeperWithoutTheLogNamesAllHoldersAsItCannotKnowWhatTheyHoldNow() {
+        fund(1_000);
+        keeper.operate(new LedgerRecord.HolderSeen(OTHER, 0, 0, false, List.of()));
+        keeper.setAnswering(false);
+        keeper.reserve(ROUTER, ONE, 100);
+        assertThat(keeper.last(ReserveRefused.class).map(ReserveRefused::lenders))
+                .contains(List.of(OTHER));
+    }
+
     @Test
     void nothingIsWaitedForWhileTheLogIsAway() {
         fund(1_000);
@@ -100,6 +123,28 @@
         assertThat(keeper.all(ReserveRefused.class)).hasSize(1);
     }
 
+    @Test
+    void noBatchIsBegunWhileTheLogIsAwaySoThatNoStampPutsOffTheUseOfTheWholeGrant() {
+        fund(1_000);
+        keeper.reserve(ROUTER, ONE, 100);
+        keeper.advance(SETTLED_MILLIS);
+        keeper.setAnswering(false);
+        int before = keeper.all(KeeperOutput.AppendBatch.class).size();
+        use(ONE, 60);
+        keeper.advance(SETTLED_MILLIS);
+        assertThat(keeper.all(KeeperOutput.AppendBatch.class)).hasSize(before);
+        keeper.setAnswering(true);
+        assertThat(keeper.statement().settledTokens()).isEqualTo(60);
+    }
+
+    @Test
+    void tokensAreOnlyGivenBackAsFarAsWhatIsBoundStaysWithinTheShare() {
+        fund(1_000);
+        keeper.reserve(ROUTER, ONE, 100);
+        keeper.advance(4 * SETTLED_MILLIS);
+        assertThat(keeper.world.availableTokens(BUDGET)).isNotNegative();
+    }
+
     @Test
     void whatALostRouterHadBorrowedIsBilledInFull() {
         fund(1_000);
--- a/core/src/test/java/org/bramleylatch/core/LedgerCursorTest.java
+++ b/core/src/test/java/org/bramleylatch/core/LedgerCursorTest.java
@@ -50,6 +50,15 @@
         assertThat(cursor.readOffset()).isZero();
     }
 
+    @Test
+    void aSearchWithoutASnapshotGoesFurtherBack() {
+        cursor.searchFrom(90, 100);
+        cursor.scanned(100);
+        assertThat(cursor.readOffset()).isEqualTo(60);
+        cursor.scanned(100);
+        assertThat(cursor.isScanning()).isFalse();
+    }
+
     @Test
     void aSnapshotWhoseTailIsGoneIsOfNoUse() {
         create(4);
--- a/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/AccountStream.java
@@ -25,8 +25,8 @@
     private static final long PEER_TIMEOUT_MILLIS = 2_000;
     private static final int MOST_RECORDS = 5_000;
 
-    /** Several seconds of records at the size of today, and so more than one snapshot. */
-    private static final int SEARCHED_RECORDS = 800;
+    /** Above what comes between two snapshots at the size of today. */
+    private static final int SEARCHED_RECORDS = 400;
 
     private final LogService platform;
     private final Incarnation self;
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -258,7 +258,7 @@
     private void follow() {
         Pace changes = new Pace(settings.storeWaitMillis(), () -> 0, LONGEST_PAUSE);
         Pace ledger =
-                new Pace(settings.storeWaitMillis(), this::ledgerPauseMillis, LONGEST_PAUSE);
+                new Pace(settings.storeWaitMillis(), settings::ledgerPauseMillis, LONGEST_PAUSE);
         KeyedStream operatorStream = KeyedStream.operator(store);
         KeyedStream endpointStream = KeyedStream.endpoints(store);
         new LogFollower<KeyedPage>(operatorStream::read, changes)
@@ -273,11 +273,6 @@
         peers.announce();
     }
 
-    /** News of the ledger may gather unless a request waits for them. */
-    private long ledgerPauseMillis() {
-        return keeperLoop.world().waiting().size() > 0 ? 0 : settings.ledgerPauseMillis();
-    }
-
     private boolean isReady() {
         return !draining && routerLoop.world().configuration().isKnown() && accounts.isCaughtUp();
     }
