Ask every keeper in reach where the own one reads no log

Change: a keeper that lacks tokens and reads no log says so, and its router asks all keepers in reach, in turns.

Kept for cuts of some VMs; a cut of all VMs gains nothing and pays the asks.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -70,6 +70,15 @@
         if (refused.code() == ResultCode.BUDGET_UNAVAILABLE) {
             row.ifPresent(
                     found -> Lending.refused(world, found, refused.lenders(), limits, nowMillis));
+        } else if (refused.code() == ResultCode.LOG_UNAVAILABLE) {
+            row.ifPresent(
+                    found ->
+                            Lending.refused(
+                                    world,
+                                    found,
+                                    Lending.withAllInReach(world, found, refused.lenders()),
+                                    limits,
+                                    nowMillis));
         } else if (refused.code() == ResultCode.SHUTTING_DOWN) {
             world.keepers().remove(refused.keeper());
             row.ifPresent(found -> askKeeper(world, found));
--- a/core/src/main/java/org/bramleylatch/core/Lending.java
+++ b/core/src/main/java/org/bramleylatch/core/Lending.java
@@ -1,13 +1,18 @@
 package org.bramleylatch.core;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** Asks the keepers of other routers for tokens that the own keeper lacks. */
 final class Lending {
     /** A keeper that lacked tokens of a budget hardly has them before the next settlement. */
     private static final long REST_MILLIS = 400;
 
+    /** A large odd number, so that like names come in unlike orders. */
+    private static final long SPREAD = 0x9E3779B97F4A7C15L;
+
     private Lending() {}
 
     /** Asks the next lender, or refuses the request if none is left. */
@@ -37,6 +42,18 @@
         world.timers().set(new RouterTimer.ReserveWait(id), nowMillis + limits.lendMillis());
     }
 
+    /** Returns the named lenders and behind them all others in reach, in turns. */
+    static List<Incarnation> withAllInReach(
+            RouterWorld world, RequestRow row, List<Incarnation> named) {
+        Comparator<Incarnation> turn =
+                Comparator.comparingLong(
+                        keeper -> (row.spec().key().low() ^ keeper.hashCode()) * SPREAD);
+        return Stream.concat(named.stream(), world.keepers().stream().sorted(turn))
+                .filter(keeper -> row.keeper().filter(keeper::equals).isEmpty())
+                .distinct()
+                .toList();
+    }
+
     private static void ask(RouterWorld world, RequestRow row, Incarnation keeper) {
         RequestSpec spec = row.spec();
         world.requests().put(spec.id(), row.asked(keeper));
--- a/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
@@ -2,16 +2,12 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.stream.Stream;
 
 /** Sets tokens aside for requests that wait, as far as the own grants go. */
 record ReservingSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
     /** So many round trips to others still fit into a caller's target. */
     private static final int MOST_LENDERS = 8;
 
-    /** A large odd number, so that like names come in unlike orders. */
-    private static final long SPREAD = 0x9E3779B97F4A7C15L;
-
     private static final Comparator<ReservationRow> BY_AGE =
             Comparator.<ReservationRow>comparingLong(row -> row.key().issuedMillis())
                     .thenComparing(row -> row.key().toString());
@@ -28,7 +24,7 @@
 
     /** Refuses the request and tells whether the budget is used up or just not at hand. */
     static void refuse(KeeperWorld world, ReservationRow row) {
-        ResultCode code = reason(world, row);
+        ResultCode code = toldReason(world, row);
         List<Incarnation> lenders = lenders(world, row);
         Reservations.drop(world, row.key());
         world.outbox().add(new KeeperOutput.ReserveRefused(row.router(), row.key(), code, lenders));
@@ -72,34 +68,17 @@
         return usable + world.availableTokens(row.budget()) >= row.tokens();
     }
 
-    /** Returns who seems to hold enough, then, without the log, all others: they may have it. */
+    /** Returns who seems to hold enough, the richest first. */
     private static List<Incarnation> lenders(KeeperWorld world, ReservationRow row) {
-        Stream<Incarnation> rich =
-                world.ledger().grantsOf(row.budget()).stream()
-                        .filter(grant -> !grant.frozen() && grant.openTokens() >= row.tokens())
-                        .sorted(Comparator.comparingLong(GrantRow::openTokens).reversed())
-                        .map(grant -> grant.key().holder());
-        Stream<Incarnation> others =
-                world.isLogLost()
-                        ? world.ledger()
-                                .holderRows()
-                                .rows()
-                                .filter(holder -> !holder.succeeded())
-                                .map(HolderRow::holder)
-                                .sorted(Comparator.comparing(other -> turn(row, other)))
-                        : Stream.empty();
-        return Stream.concat(rich, others)
-                .filter(holder -> !holder.equals(world.self()))
-                .distinct()
+        return world.ledger().grantsOf(row.budget()).stream()
+                .filter(grant -> !grant.frozen() && grant.openTokens() >= row.tokens())
+                .filter(grant -> !grant.key().holder().equals(world.self()))
+                .sorted(Comparator.comparingLong(GrantRow::openTokens).reversed())
                 .limit(MOST_LENDERS)
+                .map(grant -> grant.key().holder())
                 .toList();
     }
 
-    /** Spreads requests over lenders that nothing is known of. */
-    private static long turn(ReservationRow row, Incarnation lender) {
-        return row.key().low() ^ lender.hashCode() * SPREAD;
-    }
-
     static void grant(KeeperWorld world, ReservationRow row) {
         Reservations.hold(world, row);
         GrantKey grant = GrantKey.of(row.budget(), world.self());
@@ -108,6 +87,14 @@
         world.note(EventKind.RESERVATION_GRANTED, row.key(), detail);
     }
 
+    /** Tells a router whose keeper reads no log that others may know of tokens that it does not. */
+    private static ResultCode toldReason(KeeperWorld world, ReservationRow row) {
+        ResultCode code = reason(world, row);
+        return code == ResultCode.BUDGET_UNAVAILABLE && world.isLogLost()
+                ? ResultCode.LOG_UNAVAILABLE
+                : code;
+    }
+
     private static ResultCode reason(KeeperWorld world, ReservationRow row) {
         ResultCode ifAbsent =
                 world.isLogReachable() ? ResultCode.UNKNOWN_BUDGET : ResultCode.BUDGET_UNAVAILABLE;
--- a/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/CallSystemTest.java
@@ -158,6 +158,19 @@
         assertThat(refusals()).containsExactly(ResultCode.BUDGET_UNAVAILABLE);
     }
 
+    @Test
+    void aRouterWhoseKeeperReadsNoLogAsksEveryKeeperInReach() {
+        Incarnation other = Incarnation.of("keeper@front-2-second");
+        RequestKey key = lacksTokens(List.of());
+        router.put(new RouterInput.KeeperUp(other));
+        router.call(HOST, "/chat/8", KEY, 100, 50);
+        router.put(
+                new RouterInput.ReserveRefused(
+                        RouterCase.KEEPER, lastKey(), ResultCode.LOG_UNAVAILABLE, List.of()));
+        assertThat(lastAsk().keeper()).isEqualTo(other);
+        assertThat(lastKey()).isNotEqualTo(key);
+    }
+
     private AttemptId stream() {
         configure(route("chat", "/chat/", "seilhelfer", true));
         router.endpoints("engine-1", "engine-2");
