--- a/core/src/test/java/org/bramleylatch/core/KeeperBesideRouterTest.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperBesideRouterTest.java
@@ -138,10 +138,19 @@
 
     @Test
     void tokensAreOnlyGivenBackAsFarAsWhatIsBoundStaysWithinTheShare() {
-        fund(1_000);
-        keeper.reserve(ROUTER, ONE, 100);
-        keeper.advance(4 * SETTLED_MILLIS);
-        assertThat(keeper.world.availableTokens(BUDGET)).isNotNegative();
+        GrantPolicy keepsNothing =
+                view ->
+                        view.availableTokens() < view.neededTokens()
+                                ? GrantPlan.ask(1_000)
+                                : GrantPlan.giveBack(view.availableTokens());
+        KeeperCase generous =
+                new KeeperCase(KEEPER, keepsNothing, KeeperLimits.besideRouter(KEEP_MILLIS));
+        generous.put(new KeeperInput.FromLog(new LedgerFeed.LogSeen(true)));
+        generous.operate(new BudgetFunded(BUDGET, 1_000));
+        generous.reserve(ROUTER, ONE, 100);
+        generous.advance(SETTLED_MILLIS);
+        assertThat(generous.all(ReserveGranted.class)).hasSize(1);
+        assertThat(generous.world.availableTokens(BUDGET)).isZero();
     }
 
     @Test
