Put comments on the methods that they tell of; write the limits' copies once

No behaviour and no assertion is changed. Outcomes and RouterView had comments on the wrong methods, two comments told of earlier code, and KeeperLimits listed its sixteen fields twice.

--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -9,8 +9,7 @@
     /**
      * A router asks for the worst case of a request, in tokens, to be set aside.
      *
-     * @param borrowed true if the router's own keeper lacks them, so that the answer must come at
-     *     once
+     * @param borrowed true if the router's own keeper lacks them
      */
     record ReserveAsked(
             Incarnation router, RequestKey key, BudgetId budget, long tokens, boolean borrowed)
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -99,38 +99,26 @@
 
     /** Returns the limits with another distance between snapshots. */
     public KeeperLimits withSnapshotEvery(int records) {
-        return new KeeperLimits(
-                reserveWaitMillis,
-                intentWaitMillis,
-                appendIntervalMillis,
-                urgentIntervalMillis,
-                appendRetryMillis,
-                retryGraceMillis,
-                orphanRetryMillis,
-                reviewMillis,
-                mostRecords,
-                records,
-                snapshotEveryMillis,
-                demandHalfLifeMillis,
-                usablePermille,
-                releasedAfterMillis,
-                waitsForLog,
-                usageSummed);
+        return with(retryGraceMillis, records);
     }
 
     /** Returns the limits with another time for callers to retry, in milliseconds. */
     public KeeperLimits withRetryGrace(long millis) {
+        return with(millis, snapshotEveryRecords);
+    }
+
+    private KeeperLimits with(long graceMillis, int snapshotRecords) {
         return new KeeperLimits(
                 reserveWaitMillis,
                 intentWaitMillis,
                 appendIntervalMillis,
                 urgentIntervalMillis,
                 appendRetryMillis,
-                millis,
+                graceMillis,
                 orphanRetryMillis,
                 reviewMillis,
                 mostRecords,
-                snapshotEveryRecords,
+                snapshotRecords,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
                 usablePermille,
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -133,7 +133,7 @@
         usablePermille = permille;
     }
 
-    /** Returns when this keeper last told that it was within its usable share. */
+    /** Returns when this keeper last told, at the head of a batch, what it had bound. */
     long stampMillis() {
         return stampMillis;
     }
--- a/core/src/main/java/org/bramleylatch/core/Outcomes.java
+++ b/core/src/main/java/org/bramleylatch/core/Outcomes.java
@@ -30,23 +30,27 @@
         world.note(
                 EventKind.REQUEST_REFUSED,
                 row.spec().key(),
-                code + " " + ran + " request=" + id(row) + " stage=" + row.stage() + " " + detail);
+                code
+                        + " "
+                        + ran
+                        + " request="
+                        + row.spec().id()
+                        + " stage="
+                        + row.stage()
+                        + " "
+                        + detail);
         endClaim(world, row);
         billDelivered(world, row);
         forget(world, row);
     }
 
     /** Ends a request whose caller hung up; what reached the caller is billed. */
-    private static RequestId id(RequestRow row) {
-        return row.spec().id();
-    }
-
     static void abandon(RouterWorld world, RequestRow row) {
         cancelAttempt(world, row);
         world.note(
                 EventKind.REQUEST_REFUSED,
                 row.spec().key(),
-                "caller gone request=" + id(row) + " stage=" + row.stage());
+                "caller gone request=" + row.spec().id() + " stage=" + row.stage());
         endClaim(world, row);
         billDelivered(world, row);
         forget(world, row);
--- a/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservingSystem.java
@@ -24,7 +24,7 @@
 
     /** Refuses the request and tells whether the budget is used up or just not at hand. */
     static void refuse(KeeperWorld world, ReservationRow row) {
-        ResultCode code = toldReason(world, row);
+        ResultCode code = refusalCode(world, row);
         List<Incarnation> lenders = lenders(world, row);
         Reservations.drop(world, row.key());
         world.outbox().add(new KeeperOutput.ReserveRefused(row.router(), row.key(), code, lenders));
@@ -88,7 +88,7 @@
     }
 
     /** Tells a router whose keeper reads no log that others may know of tokens that it does not. */
-    private static ResultCode toldReason(KeeperWorld world, ReservationRow row) {
+    private static ResultCode refusalCode(KeeperWorld world, ReservationRow row) {
         ResultCode code = reason(world, row);
         return code == ResultCode.BUDGET_UNAVAILABLE && world.isLogLost()
                 ? ResultCode.LOG_UNAVAILABLE
--- a/core/src/main/java/org/bramleylatch/core/RouterView.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterView.java
@@ -92,17 +92,19 @@
         return true;
     }
 
-    /** Begins a planned stop. */
+    /** Takes among how many routers the fleet's allowances are split; it only grows. */
     boolean routersKnown(RoutersKnown known) {
         world.setRouters(Math.max(world.routers(), known.count()));
         return true;
     }
 
+    /** Takes the keeper of the own process into use; it comes before all others. */
     boolean keeperBeside(KeeperBeside beside) {
         world.setBeside(beside.keeper());
         return world.keepers().add(beside.keeper());
     }
 
+    /** Begins a planned stop. */
     boolean stop() {
         world.setStopping();
         return true;
