Count a daemon's requests by one type

GatewayMetrics and RouterMetrics were the same but for the prefix of their names and one counter; edge has RequestMetrics now, and the gateway keeps its counter of requests that broke off. Names are as before; the help text of the router's events reads as the gateway's. A comment no longer names a figure. Assertions unchanged.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMetrics.java
+++ b/edge/src/main/java/org/bramleylatch/edge/RequestMetrics.java
@@ -1,4 +1,4 @@
-package org.bramleylatch.gateway;
+package org.bramleylatch.edge;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
@@ -8,63 +8,63 @@
 import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.ResultCode;
 
-/** Counts what the gateway does. */
-final class GatewayMetrics {
+/** Counts what a daemon does for its callers. */
+public final class RequestMetrics {
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Counter events;
     private final Counter refusals;
-    private final Counter broken;
     private final Gauge open;
     private final Histogram firstToken;
 
-    GatewayMetrics(PrometheusRegistry registry) {
+    /**
+     * Registers the metrics.
+     *
+     * @param daemon the daemon's name, which theirs begin with
+     */
+    public RequestMetrics(PrometheusRegistry registry, String daemon) {
+        String prefix = "bramleylatch_" + daemon;
         events =
                 Counter.builder()
-                        .name("bramleylatch_gateway_events_total")
+                        .name(prefix + "_events_total")
                         .help("Events by kind")
                         .labelNames("kind")
                         .register(registry);
         refusals =
                 Counter.builder()
-                        .name("bramleylatch_gateway_refusals_total")
+                        .name(prefix + "_refusals_total")
                         .help("Refused or broken requests by result code")
                         .labelNames("code")
                         .register(registry);
-        broken =
-                Counter.builder()
-                        .name("bramleylatch_gateway_broken_requests_total")
-                        .help("Requests that broke off before they were read")
-                        .register(registry);
         open =
                 Gauge.builder()
-                        .name("bramleylatch_gateway_open_requests")
+                        .name(prefix + "_open_requests")
                         .help("Requests whose callers wait")
                         .register(registry);
         firstToken =
                 Histogram.builder()
-                        .name("bramleylatch_gateway_first_token_seconds")
+                        .name(prefix + "_first_token_seconds")
                         .help("Time from arrival to the first token")
                         .register(registry);
     }
 
-    void count(EventKind kind) {
+    /** Counts an event. */
+    public void count(EventKind kind) {
         events.labelValues(kind.name().toLowerCase(Locale.ROOT)).inc();
     }
 
-    void refused(ResultCode code) {
+    /** Counts a request that was refused or broke. */
+    public void refused(ResultCode code) {
         refusals.labelValues(code.name()).inc();
     }
 
-    void broken() {
-        broken.inc();
-    }
-
-    void setOpen(int requests) {
+    /** Notes how many requests are open. */
+    public void setOpen(int requests) {
         open.set(requests);
     }
 
-    void firstToken(long millis) {
+    /** Notes the time from a request's arrival to its first token. */
+    public void firstToken(long millis) {
         firstToken.observe(millis / MILLIS_PER_SECOND);
     }
 }
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerSide.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerSide.java
@@ -20,6 +20,7 @@
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.edge.Digests;
 import org.bramleylatch.edge.Incarnations;
+import org.bramleylatch.edge.RequestMetrics;
 import org.bramleylatch.platform.CallHead;
 
 /** Turns callers' HTTP requests into messages and messages into their answers. */
@@ -28,7 +29,8 @@
 
     private final InstantSource clock;
     private final Consumer<RouterInput> inbox;
-    private final GatewayMetrics metrics;
+    private final RequestMetrics metrics;
+    private final Runnable broken;
     private final IntSupplier mostBodyBytes;
     private final BooleanSupplier draining;
     private final Map<RequestId, CallerExchange> exchanges = new HashMap<>();
@@ -38,17 +40,20 @@
     /**
      * Makes the side; no request is taken yet.
      *
+     * @param broken is run for each request that broke off before it was read
      * @param draining tells whether callers should open their next connection elsewhere
      */
     CallerSide(
             InstantSource clock,
             Consumer<RouterInput> inbox,
-            GatewayMetrics metrics,
+            RequestMetrics metrics,
+            Runnable broken,
             IntSupplier mostBodyBytes,
             BooleanSupplier draining) {
         this.clock = clock;
         this.inbox = inbox;
         this.metrics = metrics;
+        this.broken = broken;
         this.mostBodyBytes = mostBodyBytes;
         this.draining = draining;
     }
@@ -63,7 +68,7 @@
                         body.appendBuffer(bytes);
                     }
                 });
-        request.exceptionHandler(failure -> metrics.broken());
+        request.exceptionHandler(failure -> broken.run());
         request.endHandler(end -> read(request, body, arrivedMillis));
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.gateway;
 
+import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Context;
@@ -41,6 +42,7 @@
 import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.edge.Ops;
 import org.bramleylatch.edge.Pace;
+import org.bramleylatch.edge.RequestMetrics;
 import org.bramleylatch.edge.RouterLinks;
 import org.bramleylatch.edge.Servers;
 import org.bramleylatch.edge.TickLoop;
@@ -75,7 +77,7 @@
     private final BootFile boot;
     private final GatewaySettings settings;
     private final EventLog log;
-    private final GatewayMetrics metrics;
+    private final RequestMetrics metrics;
     private final PrometheusRegistry metricsRegistry = new PrometheusRegistry();
     private final Incarnation keeper;
     private final Incarnation router;
@@ -106,7 +108,7 @@
         this.boot = boot;
         this.settings = settings;
         this.log = new EventLog(clock, boot.vm(), settings.logLinesPerSecond());
-        this.metrics = new GatewayMetrics(metricsRegistry);
+        this.metrics = new RequestMetrics(metricsRegistry, "gateway");
         this.keeper = Incarnations.fresh("keeper", boot.vm());
         this.router = Incarnations.fresh("router", boot.vm());
         this.replies = KeeperReplies.of(keeper);
@@ -153,10 +155,16 @@
     }
 
     private CallerSide callerSide() {
+        Counter broken =
+                Counter.builder()
+                        .name("bramleylatch_gateway_broken_requests_total")
+                        .help("Requests that broke off before they were read")
+                        .register(metricsRegistry);
         return new CallerSide(
                 clock,
                 routerLoop::offer,
                 metrics,
+                broken::inc,
                 () -> operator.latest().mostBodyBytes(),
                 () -> draining);
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/LogOutput.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LogOutput.java
@@ -13,8 +13,8 @@
 
 /**
  * Sets the gateway's loggers up: events through a bounded queue that never blocks, the rest as
- * text. A file of settings would take a tenth of a start to read. Other daemons on the same class
- * path are left alone.
+ * text. Reading a configuration file would delay each start. Other daemons on the same class path
+ * are left alone.
  */
 public final class LogOutput extends ContextAwareBase implements Configurator {
     /** Set to anything, this property asks for the gateway's set-up. */
--- a/router/src/main/java/org/bramleylatch/router/Callers.java
+++ b/router/src/main/java/org/bramleylatch/router/Callers.java
@@ -27,6 +27,7 @@
 import org.bramleylatch.edge.Digests;
 import org.bramleylatch.edge.Incarnations;
 import org.bramleylatch.edge.Problem;
+import org.bramleylatch.edge.RequestMetrics;
 import org.bramleylatch.wire.Json;
 
 /** Turns callers' HTTP requests into messages and messages into their answers. */
@@ -41,7 +42,7 @@
     private final int mostBodyBytes;
     private final RouterWorld world;
     private final Consumer<RouterInput> inbox;
-    private final RouterMetrics metrics;
+    private final RequestMetrics metrics;
     private final Map<RequestId, Exchange> exchanges = new HashMap<>();
     private final Actions<RouterOutput> carriers = carriers();
     private long count;
@@ -51,7 +52,7 @@
             int mostBodyBytes,
             RouterWorld world,
             Consumer<RouterInput> inbox,
-            RouterMetrics metrics) {
+            RequestMetrics metrics) {
         this.clock = clock;
         this.mostBodyBytes = mostBodyBytes;
         this.world = world;
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -25,6 +25,7 @@
 import org.bramleylatch.edge.KeeperLinks;
 import org.bramleylatch.edge.Ops;
 import org.bramleylatch.edge.PlatformClient;
+import org.bramleylatch.edge.RequestMetrics;
 import org.bramleylatch.edge.Servers;
 import org.bramleylatch.edge.TickLoop;
 import org.bramleylatch.edge.Timeline;
@@ -42,7 +43,7 @@
     private final KeeperLinks keepers;
     private final ConfigStream configuration;
     private final Actions<RouterOutput> carriers;
-    private final RouterMetrics metrics;
+    private final RequestMetrics metrics;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
@@ -62,7 +63,7 @@
                         clock,
                         order,
                         settings.timelineFile());
-        this.metrics = new RouterMetrics(registry);
+        this.metrics = new RequestMetrics(registry, "router");
         RouterWorld world =
                 RouterWorld.of(self, settings.zone(), () -> AttemptId.of(Incarnations.token()));
         this.loop =
