--- a/core/src/main/java/org/bramleylatch/core/AppendSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/AppendSystem.java
@@ -7,7 +7,7 @@
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
-        if (isStamped() && world.isLogLost() && !world.writer().isInFlight()) {
+        if (limits.keepsToShare() && world.isLogLost() && !world.writer().isInFlight()) {
             // A new stamp would put off the time at which all of a grant may be used.
             return;
         }
@@ -20,12 +20,8 @@
                 .ifPresent(millis -> world.timers().set(new KeeperTimer.AppendDue(), millis));
     }
 
-    private boolean isStamped() {
-        return limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE;
-    }
-
     private Optional<LedgerRecord> head(KeeperWorld world, long nowMillis) {
-        return isStamped()
+        return limits.keepsToShare()
                 ? Optional.of(UsableShareSystem.stamp(world, limits, nowMillis))
                 : Optional.empty();
     }
--- a/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInbox.java
@@ -326,7 +326,7 @@
         private boolean catchUp() {
             world.setCaughtUp();
             world.ledger().budgets().keys().forEach(world.touched()::add);
-            if (limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE) {
+            if (limits.keepsToShare()) {
                 world.append(UsableShareSystem.stamp(world, limits, nowMillis));
             }
             return true;
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -107,6 +107,11 @@
         return with(millis, snapshotEveryRecords);
     }
 
+    /** Returns true if a keeper keeps to a share of its grants and says so in its batches. */
+    boolean keepsToShare() {
+        return usablePermille < UsableShareSystem.WHOLE_PERMILLE;
+    }
+
     private KeeperLimits with(long graceMillis, int snapshotRecords) {
         return new KeeperLimits(
                 reserveWaitMillis,
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -28,7 +28,6 @@
 public final class LedgerFold {
     private static final Optional<ResultCode> ACCEPTED = Optional.empty();
     private static final int EXPIRE_EVERY_RECORDS = 256;
-    private static final int WHOLE_PERMILLE = 1_000;
 
     private final Ledger ledger;
     private final MoveRules moves;
@@ -237,14 +236,16 @@
                         giveBackUnused(
                                 key,
                                 beyond.contains(key.budget())
-                                        ? WHOLE_PERMILLE
+                                        ? UsableShareSystem.WHOLE_PERMILLE
                                         : record.usedPermille()));
         return ACCEPTED;
     }
 
     private void giveBackUnused(GrantKey key, int usedPermille) {
         GrantRow grant = ledger.grants().find(key).orElseThrow();
-        long used = -Math.floorDiv(-grant.openTokens() * usedPermille, WHOLE_PERMILLE);
+        long used =
+                -Math.floorDiv(
+                        -grant.openTokens() * usedPermille, UsableShareSystem.WHOLE_PERMILLE);
         long unused = grant.frozen() ? 0 : grant.openTokens() - used;
         ledger.grants().put(key, grant.returned(unused).freeze());
         ledger.budgets().update(key.budget(), row -> row.opened(-unused));
--- a/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
@@ -65,7 +65,6 @@
         boolean byVote =
                 row.endedWithinByVote(spanMillis, startMillis, ClockVote.TOLERANCE_MILLIS)
                         && ClockVote.isWon(world, nowMillis);
-        return limits.usablePermille() < UsableShareSystem.WHOLE_PERMILLE
-                && (bySteadyClock || byVote);
+        return limits.keepsToShare() && (bySteadyClock || byVote);
     }
 }
