Log the prompt parts of arrivals and the progress of failed attempts

The logs could not tell the three hypotheses of the postmortem apart: an arrival did not name the parts of its prompt, and a failed attempt did not say whether its answer had begun, how old it was and what else ran at the endpoint.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -260,6 +260,8 @@
                 + " budget="
                 + spec.budget()
                 + " worstCase="
-                + spec.worstCaseTokens();
+                + spec.worstCaseTokens()
+                + " parts="
+                + PromptPartId.describe(spec.promptParts());
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -112,7 +112,10 @@
                                 failed.connected()
                                         ? row.attemptFailed(nowMillis)
                                         : row.connectionFailed(nowMillis));
-        world.note(EventKind.ATTEMPT_FAILED, failed.attempt(), endpoint + " " + failed.detail());
+        world.note(
+                EventKind.ATTEMPT_FAILED,
+                failed.attempt(),
+                endpoint + " " + failed.detail() + describeProgress(attempt.get()));
         world.requests()
                 .find(attempt.get().request())
                 .ifPresent(row -> retryOrRefuse(row, endpoint, failed));
@@ -173,6 +176,28 @@
                                         attempt.firstTokenLatencyMillis()));
     }
 
+    /** Returns how far the attempt had come and how many others of this router run there. */
+    private String describeProgress(AttemptRow attempt) {
+        int others =
+                world.endpoints()
+                        .find(attempt.endpoint())
+                        .map(row -> row.load().outstanding())
+                        .orElse(0);
+        return " position="
+                + attempt.nextPosition()
+                + " firstTokenMillis="
+                + attempt.firstTokenLatencyMillis().map(String::valueOf).orElse("none")
+                + " ageMillis="
+                + (nowMillis - attempt.startedMillis())
+                + " othersThere="
+                + others
+                + " key="
+                + world.requests()
+                        .find(attempt.request())
+                        .map(row -> row.spec().key().toString())
+                        .orElse("none");
+    }
+
     private boolean drop(AttemptId attempt, String detail) {
         world.note(EventKind.MESSAGE_DROPPED, attempt, detail);
         return false;
--- a/core/src/main/java/org/bramleylatch/core/Call.java
+++ b/core/src/main/java/org/bramleylatch/core/Call.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.core;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -15,6 +16,7 @@
  * @param maxAnswerTokens the maximum length of the answer
  * @param sharedPrefixTokens the length of the prompt prefix that other requests share
  * @param prefixHash a hash of the shared prefix
+ * @param sharedPartIds the ids of the prompt's parts that other requests may share, in order
  * @param callerTimeoutMillis how long the caller waits, counted from the arrival
  */
 public record Call(
@@ -27,5 +29,12 @@
         long maxAnswerTokens,
         long sharedPrefixTokens,
         long prefixHash,
+        List<String> sharedPartIds,
         long arrivedMillis,
-        long callerTimeoutMillis) {}
+        long callerTimeoutMillis) {
+
+    /** Copies the list. */
+    public Call {
+        sharedPartIds = List.copyOf(sharedPartIds);
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/CallResolver.java
+++ b/core/src/main/java/org/bramleylatch/core/CallResolver.java
@@ -39,7 +39,8 @@
                 call.maxAnswerTokens(),
                 call.prefixHash(),
                 call.arrivedMillis() + options.effectiveTimeoutMillis(call.callerTimeoutMillis()),
-                new RequestTraits(call.sharedPrefixTokens(), priority, metered));
+                new RequestTraits(
+                        call.sharedPrefixTokens(), call.sharedPartIds(), priority, metered));
     }
 
     private boolean refuse(Call call, ResultCode code) {
--- a/core/src/main/java/org/bramleylatch/core/RequestSpec.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestSpec.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -65,6 +66,14 @@
         return route.backEndFor(key);
     }
 
+    /** Returns the parts of the prompt that other requests to the back end may share, in order. */
+    public List<PromptPartId> promptParts() {
+        String backEnd = backEnd();
+        return traits.sharedPartIds().stream()
+                .map(part -> new PromptPartId(backEnd, part))
+                .toList();
+    }
+
     /** Returns the tokens to reserve from the budget; 0 if the request isn't metered. */
     public long billableTokens() {
         return traits.metered() ? worstCaseTokens() : 0;
--- a/core/src/test/java/org/bramleylatch/core/RouterHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterHarness.java
@@ -96,6 +96,7 @@
                                 maxAnswerTokens,
                                 0,
                                 0,
+                                List.of(),
                                 nowMillis,
                                 TIMEOUT_MILLIS)));
         return id;
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -142,6 +142,7 @@
                 head.maxAnswerTokens(),
                 head.sharedPrefixTokens(),
                 head.prefixHash(),
+                head.sharedPartIds(),
                 exchange.arrivedMillis(),
                 head.callerTimeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS));
     }
