Quarantine the parts of prompts that crash endpoints, on all routers' evidence

What callers saw: one request in twenty of a route crashed the engine that began to answer it.

Cause: a request that crashes its endpoint looks like any broken connection, and each VM sees only its own share of the crashes, less than one before the part must be known everywhere. Class: evidence about the fleet that no single process has.

Change: a router that loses an unanswered attempt opens a connection to the endpoint; if that is refused, the endpoint crashed, and the parts of the unanswered prompts there are suspects. Routers tell each other of crashes, and of completed answers on suspected parts, through the keepers' connections and the store, which keeps it over restarts. A part is blamed after two crashes with hardly an answer; crashes that a blamed part explains count against no other part. Its requests are refused at once as not run (1308), unanswered ones are withdrawn. After 30 s, doubled with each further crash, one router sends one request as a retrial; evidence expires after ten minutes.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -34,6 +34,11 @@
         world.timers()
                 .set(new RouterTimer.RequestDeadline(row.spec().id()), row.spec().deadlineMillis());
         world.note(EventKind.REQUEST_ARRIVED, row.spec().key(), describe(row.spec()));
+        Optional<QuarantineRow> quarantine = QuarantineSystem.findBlocking(world, row, nowMillis);
+        if (quarantine.isPresent()) {
+            QuarantineSystem.refuse(world, row, quarantine.get(), nowMillis);
+            return false;
+        }
         advance(row);
         return true;
     }
--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -62,6 +62,10 @@
         }
         RequestCompletion.closeAttempt(world, ended.attempt());
         countForMove(attempt.get(), true);
+        CrashDetection crashes = new CrashDetection(world, nowMillis);
+        world.requests()
+                .find(attempt.get().request())
+                .ifPresent(row -> crashes.recordCompletedAnswer(row.spec()));
         world.endpoints().update(attempt.get().endpoint(), EndpointRow::attemptSucceeded);
         world.note(EventKind.ATTEMPT_ENDED, ended.attempt(), "tokens=" + ended.position());
         world.requests().find(attempt.get().request()).ifPresent(this::startSettlement);
@@ -105,6 +109,7 @@
         world.send(new RouterOutput.CancelAttempt(failed.attempt()));
         EndpointId endpoint = attempt.get().endpoint();
         countForMove(attempt.get(), false);
+        new CrashDetection(world, nowMillis).recordBrokenAttempt(attempt.get(), failed);
         world.endpoints()
                 .update(
                         endpoint,
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/CrashDetection.java
@@ -0,0 +1,128 @@
+package org.bramleylatch.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.bramleylatch.core.RouterInput.AttemptFailed;
+import org.bramleylatch.core.RouterInput.EndpointProbed;
+import org.bramleylatch.core.RouterInput.ReportReceived;
+
+/**
+ * Tells crashes of endpoints from other broken connections, and collects the prompts that were
+ * running unanswered there. A crashed endpoint refuses a new connection; one that reset a single
+ * connection accepts it, and one behind a network partition does not answer. An endpoint that is
+ * leaving ends as planned, so its connections count for nothing.
+ */
+record CrashDetection(RouterWorld world, long nowMillis) {
+    private static final int MAX_SUSPECTS = 64;
+
+    /** Records the prompt of an attempt whose connection broke before its first token. */
+    void recordBrokenAttempt(AttemptRow attempt, AttemptFailed failed) {
+        boolean isUnanswered =
+                failed.cause() == AttemptFailed.Cause.CONNECTION_LOST
+                        && attempt.firstTokenLatencyMillis().isEmpty();
+        Optional<EndpointRow> endpoint =
+                world.endpoints()
+                        .find(attempt.endpoint())
+                        .filter(row -> !row.leavingSignals().isLeaving());
+        List<SuspectPart> suspects =
+                world.requests()
+                        .find(attempt.request())
+                        .map(row -> suspectsOf(row.spec()))
+                        .orElse(List.of());
+        if (isUnanswered && endpoint.isPresent() && !suspects.isEmpty()) {
+            record(new CrashReport(attempt.endpoint(), nowMillis, suspects));
+        }
+    }
+
+    /** Counts a completed answer for every part of its prompt. */
+    void recordCompletedAnswer(RequestSpec spec) {
+        spec.promptParts().forEach(part -> world.crashTables().addClear(part, nowMillis));
+    }
+
+    /** Confirms or drops a suspected crash after a new connection to the endpoint was tried. */
+    boolean applyProbe(EndpointProbed probed) {
+        Optional<CrashReport> report = world.crashTables().unconfirmed().remove(probed.endpoint());
+        report.ifPresent(found -> applyProbe(found, probed));
+        return report.isPresent();
+    }
+
+    /** Adds what another router, or an earlier run of this one, has seen. */
+    boolean applyReport(ReportReceived received) {
+        if (received.report() instanceof CrashEvidence evidence
+                && !evidence.router().equals(world.self())) {
+            boolean isOwnEarlierRun = evidence.router().isOtherRunOf(world.self());
+            evidence.crashes()
+                    .forEach(
+                            crash -> {
+                                if (isOwnEarlierRun) {
+                                    world.crashTables().addOwnCrash(crash, nowMillis);
+                                } else {
+                                    world.crashTables().addCrash(crash, nowMillis);
+                                }
+                            });
+            evidence.clears()
+                    .forEach(
+                            clears ->
+                                    world.crashTables()
+                                            .addReportedClears(evidence.router().value(), clears));
+            return true;
+        }
+        return false;
+    }
+
+    private void record(CrashReport report) {
+        CrashTables tables = world.crashTables();
+        if (tables.ownCrashes().has(report.endpoint())) {
+            tables.addOwnCrash(report, nowMillis);
+            return;
+        }
+        boolean isProbed = tables.unconfirmed().has(report.endpoint());
+        CrashReport merged =
+                tables.unconfirmed()
+                        .find(report.endpoint())
+                        .map(known -> known.merge(report))
+                        .orElse(report);
+        tables.unconfirmed().put(report.endpoint(), merged);
+        if (!isProbed) {
+            world.send(new RouterOutput.ProbeEndpoint(report.endpoint()));
+        }
+    }
+
+    private void applyProbe(CrashReport report, EndpointProbed probed) {
+        world.note(
+                probed.refused() ? EventKind.ENDPOINT_CRASHED : EventKind.ENDPOINT_CONNECTION_RESET,
+                probed.endpoint(),
+                "unanswered parts=" + describe(report) + " probe=" + probed.detail());
+        if (probed.refused()) {
+            world.crashTables().addOwnCrash(withMostSuspect(report), nowMillis);
+        }
+    }
+
+    /** Keeps the parts with the fewest completed answers if there are too many to report. */
+    private CrashReport withMostSuspect(CrashReport report) {
+        List<SuspectPart> suspects = new ArrayList<>(report.suspects());
+        suspects.sort(
+                Comparator.comparingInt(
+                        suspect ->
+                                world.crashTables().recentClears().count(suspect.id(), nowMillis)));
+        return new CrashReport(
+                report.endpoint(),
+                report.crashedMillis(),
+                suspects.subList(0, Math.min(MAX_SUSPECTS, suspects.size())));
+    }
+
+    private static List<SuspectPart> suspectsOf(RequestSpec spec) {
+        List<PromptPartId> parts = spec.promptParts();
+        List<SuspectPart> suspects = new ArrayList<>();
+        for (int depth = 0; depth < parts.size(); depth++) {
+            suspects.add(new SuspectPart(parts.get(depth), depth));
+        }
+        return suspects;
+    }
+
+    private static String describe(CrashReport report) {
+        return PromptPartId.describe(report.suspects().stream().map(SuspectPart::id).toList());
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -13,6 +13,14 @@
     ATTEMPT_FAILED,
     /** An attempt was cancelled to free its endpoint while the caller does not read. */
     ATTEMPT_PARKED,
+    /** An endpoint broke attempts off and then refused a connection. */
+    ENDPOINT_CRASHED,
+    /** An endpoint broke attempts off but still accepts connections. */
+    ENDPOINT_CONNECTION_RESET,
+    /** Requests with a part of a prompt that crashes endpoints are refused from now on. */
+    PART_QUARANTINED,
+    /** Requests with a part of a prompt are sent to endpoints again. */
+    PART_RELEASED,
     /** A message was ignored because its attempt is unknown or its position was seen before. */
     MESSAGE_DROPPED,
     RESERVATION_GRANTED,
--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -55,6 +55,7 @@
                     .on(IntentAsked.class, this::claimIntent)
                     .on(IntentEnded.class, this::finishIntent)
                     .on(MoveReported.class, this::appendMoveReport)
+                    .on(KeeperInput.RouterReported.class, this::relayReport)
                     .on(RouterConnected.class, this::addRouter)
                     .on(RouterDisconnected.class, this::removeRouter)
                     .on(AttemptUsageReported.class, this::settleOrphan)
@@ -272,7 +273,21 @@
             return true;
         }
 
+        private boolean relayReport(KeeperInput.RouterReported reported) {
+            RouterReport report = reported.report();
+            world.routerReports().put(report.subject(), report);
+            world.routers().stream()
+                    .filter(router -> !router.equals(report.router()))
+                    .map(router -> new KeeperOutput.ReportRelayed(router, report))
+                    .forEach(world.outbox()::add);
+            return true;
+        }
+
         private boolean addRouter(RouterConnected connected) {
+            world.routerReports()
+                    .rows()
+                    .map(report -> new KeeperOutput.ReportRelayed(connected.router(), report))
+                    .forEach(world.outbox()::add);
             world.ledger()
                     .moves()
                     .rows()
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -43,6 +43,9 @@
     /** Reports what a router observed during a planned move. */
     record MoveReported(LedgerRecord.MoveObserved report) implements KeeperInput {}
 
+    /** Carries what a router tells all others; the keeper passes it on to them. */
+    record RouterReported(RouterReport report) implements KeeperInput {}
+
     /** Reports that a router connected; the keeper answers with the state of every planned move. */
     record RouterConnected(Incarnation router) implements KeeperInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperOutput.java
@@ -57,6 +57,9 @@
     /** Tells a router the current state of a planned move. */
     record MoveChanged(Incarnation router, MoveRow move) implements ToRouter {}
 
+    /** Passes on to a router what another one tells all. */
+    record ReportRelayed(Incarnation router, RouterReport report) implements ToRouter {}
+
     /** Appends the records to the log, in order, in one call. */
     record AppendBatch(List<SequencedRecord> records) implements KeeperOutput {
 
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -20,6 +20,7 @@
     private final Deadlines<KeeperTimer> timers = Deadlines.empty();
     private final Set<Incarnation> routers = new HashSet<>();
     private final Table<RouteName, Long> announcedMoveRevisions = Table.empty();
+    private final Table<String, RouterReport> routerReports = Table.empty();
     private final Set<BudgetId> changedBudgets = new HashSet<>();
     private final Set<Incarnation> takeoversInFlight = new HashSet<>();
     private final Set<Incarnation> predecessors = new LinkedHashSet<>();
@@ -191,6 +192,11 @@
         return announcedMoveRevisions;
     }
 
+    /** Contains the latest report of each router on each subject. */
+    Table<String, RouterReport> routerReports() {
+        return routerReports;
+    }
+
     /** Contains predecessors whose HolderTakenOver or HolderFrozen record is not yet read back. */
     Set<Incarnation> takeoversInFlight() {
         return takeoversInFlight;
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -24,6 +24,11 @@
     }
 
     private void place(RouterWorld world, RequestRow row, long nowMillis) {
+        Optional<QuarantineRow> quarantine = QuarantineSystem.findBlocking(world, row, nowMillis);
+        if (quarantine.isPresent()) {
+            QuarantineSystem.refuse(world, row, quarantine.get(), nowMillis);
+            return;
+        }
         List<EndpointRow> accepting = acceptingEndpoints(world, row, nowMillis);
         if (accepting.isEmpty()) {
             ResultCode code =
--- a/core/src/main/java/org/bramleylatch/core/RequestCompletion.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestCompletion.java
@@ -32,9 +32,25 @@
      * endpoint may have run the request, subject to {@link RouteOptions#billsUnansweredPrompt}.
      */
     static void refuse(RouterWorld world, RequestRow row, ResultCode code, String detail) {
+        refuse(world, row, code, detail, Optional.empty());
+    }
+
+    /**
+     * Refuses the request like {@link #refuse(RouterWorld, RequestRow, ResultCode, String)}.
+     *
+     * @param retryAfterMillis when the request may be served; empty for what {@link RetryAdvice}
+     *     says of the code
+     */
+    static void refuse(
+            RouterWorld world,
+            RequestRow row,
+            ResultCode code,
+            String detail,
+            Optional<Long> retryAfterMillis) {
         cancelAttempt(world, row);
         RunState runState = reportableRunState(code, row.runState());
-        world.send(new RouterOutput.Refuse(row.spec().id(), code, runState, detail));
+        world.send(
+                new RouterOutput.Refuse(row.spec().id(), code, runState, detail, retryAfterMillis));
         world.note(
                 EventKind.REQUEST_REFUSED,
                 row.spec().key(),
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -42,6 +42,7 @@
         Admission admission = new Admission(world, limits, nowMillis);
         AnswerRelay answers = new AnswerRelay(world, limits, nowMillis);
         FleetUpdates fleet = new FleetUpdates(world, limits, nowMillis);
+        CrashDetection crashes = new CrashDetection(world, nowMillis);
         CallResolver callResolver = new CallResolver(world, admission);
         RegistryUpdates registry = new RegistryUpdates(world, limits, nowMillis);
         Dispatch<RouterInput, Boolean> handlers = Dispatch.empty();
@@ -64,6 +65,8 @@
                 .on(CallerDisconnected.class, answers::abandon)
                 .on(UsageHeld.class, usage -> Settlements.finishAnswer(world, usage.key()))
                 .on(UsageDurable.class, usage -> Settlements.close(world, usage.key()));
+        handlers.on(RouterInput.EndpointProbed.class, crashes::applyProbe)
+                .on(RouterInput.ReportReceived.class, crashes::applyReport);
         handlers.on(ConfigurationReceived.class, fleet::applyConfiguration)
                 .on(EndpointsListed.class, fleet::applyListing)
                 .on(EndpointReported.class, fleet::applyReport)
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -104,17 +104,42 @@
      * Reports a failed attempt.
      *
      * @param runState whether the endpoint ran the request, as far as known
-     * @param connected false if no connection to the endpoint could be established
      */
-    record AttemptFailed(AttemptId attempt, RunState runState, String detail, boolean connected)
+    record AttemptFailed(AttemptId attempt, RunState runState, String detail, Cause cause)
             implements RouterInput {
 
-        /** Makes the failure of an attempt that had a connection to its endpoint. */
+        /** Says what became of the connection to the endpoint. */
+        public enum Cause {
+            /** No connection could be established. */
+            NOT_CONNECTED,
+            /** The endpoint closed or reset the connection before the answer was complete. */
+            CONNECTION_LOST,
+            /** The connection is not the cause. */
+            OTHER
+        }
+
+        /** Makes the failure of an attempt whose connection was not the cause. */
         public AttemptFailed(AttemptId attempt, RunState runState, String detail) {
-            this(attempt, runState, detail, true);
+            this(attempt, runState, detail, Cause.OTHER);
+        }
+
+        /** Returns true if a connection to the endpoint was established. */
+        public boolean connected() {
+            return cause != Cause.NOT_CONNECTED;
         }
     }
 
+    /**
+     * Reports the outcome of a new connection to an endpoint.
+     *
+     * @param refused true if nothing listens at the endpoint's address any more
+     */
+    record EndpointProbed(EndpointId endpoint, boolean refused, String detail)
+            implements RouterInput {}
+
+    /** Carries what a router told all others. */
+    record ReportReceived(RouterReport report) implements RouterInput {}
+
     /** Reports that the caller reads too slowly, or no longer does. */
     record CallerPaused(RequestId request, boolean paused) implements RouterInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterOutput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterOutput.java
@@ -1,5 +1,7 @@
 package org.bramleylatch.core;
 
+import java.util.Optional;
+
 /** Marks the messages that a router's world sends. */
 public sealed interface RouterOutput {
 
@@ -31,9 +33,28 @@
      * Refuses a request or breaks off its answer.
      *
      * @param runState whether an endpoint ran the request, as far as known
+     * @param retryAfterMillis when the request may be served; empty for what {@link RetryAdvice}
+     *     says of the code
      */
-    record Refuse(RequestId request, ResultCode code, RunState runState, String detail)
-            implements RouterOutput {}
+    record Refuse(
+            RequestId request,
+            ResultCode code,
+            RunState runState,
+            String detail,
+            Optional<Long> retryAfterMillis)
+            implements RouterOutput {
+
+        /** Makes a refusal with the usual advice on when to retry. */
+        public Refuse(RequestId request, ResultCode code, RunState runState, String detail) {
+            this(request, code, runState, detail, Optional.empty());
+        }
+    }
+
+    /** Opens a connection to an endpoint and closes it again; no request is sent. */
+    record ProbeEndpoint(EndpointId endpoint) implements RouterOutput {}
+
+    /** Stores what this router tells all others, so that it outlasts the processes. */
+    record StoreReport(RouterReport report) implements RouterOutput {}
 
     /** Appends an event to the timeline. */
     record Note(Event event) implements RouterOutput {}
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -15,6 +15,7 @@
         return Schedule.of(
                 new RouterInboxSystem(limits),
                 new RouterTimerSystem(limits),
+                new QuarantineSystem(),
                 new PlacementSystem(placement, limits),
                 new SettlementSystem(),
                 new MoveReportSystem(limits),
--- a/core/src/main/java/org/bramleylatch/core/RouterTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -21,6 +21,9 @@
     /** Wakes the router to report the attempts during moves. */
     record MoveReport() implements RouterTimer {}
 
+    /** Drops evidence of crashes that has expired. */
+    record EvidenceExpiry() implements RouterTimer {}
+
     /** Ends an answer although no keeper has confirmed that it holds the usage. */
     record UsageHoldTimeout(RequestKey key) implements RouterTimer {}
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -30,6 +30,7 @@
                                         new RegistryUpdates(world, limits, nowMillis)
                                                 .remove(due.endpoint()))
                         .on(MoveReport.class, due -> true)
+                        .on(RouterTimer.EvidenceExpiry.class, due -> true)
                         .on(
                                 UsageHoldTimeout.class,
                                 due -> Settlements.finishAnswer(world, due.key()));
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -22,6 +22,7 @@
     private final Table<RouteName, RouterMoveRow> moves = Table.empty();
     private final Table<RequestId, List<Incarnation>> remainingLenders = Table.empty();
     private final Table<GrantKey, Long> lenderBackoffUntilMillis = Table.empty();
+    private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
     private final Deadlines<RouterTimer> timers = Deadlines.empty();
@@ -139,6 +140,11 @@
         return lenderBackoffUntilMillis;
     }
 
+    /** Returns what is known about prompts that crash endpoints. */
+    CrashTables crashTables() {
+        return crashTables;
+    }
+
     Set<RequestId> queuedRequests() {
         return queuedRequests;
     }
@@ -204,6 +210,23 @@
         return localKeeper.or(() -> Rendezvous.first(budget.value(), keepers));
     }
 
+    /**
+     * Returns true if this router is the one that all routers with the same connections choose for
+     * the key. Always false without a local keeper.
+     */
+    boolean isChosenRouter(String key) {
+        return localKeeper.isPresent() && localKeeper.equals(Rendezvous.first(key, keepers));
+    }
+
+    /** Tells all other routers, through the keepers, and stores what they are told. */
+    void report(RouterReport report) {
+        KeeperInput message = new KeeperInput.RouterReported(report);
+        localKeeper.map(Set::of).orElse(keepers).stream()
+                .map(keeper -> new RouterOutput.ToKeeper(keeper, message))
+                .forEach(this::send);
+        send(new RouterOutput.StoreReport(report));
+    }
+
     /**
      * Returns the endpoints that may serve the request now, in order of their ids. Unless the route
      * allows resumption anywhere, a partly delivered answer has only its latest endpoint, even if
--- a/core/src/test/java/org/bramleylatch/core/KeeperWorldTest.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperWorldTest.java
@@ -37,6 +37,20 @@
         assertThat(lastRefusalCode()).isEqualTo(ResultCode.BUDGET_EXHAUSTED);
     }
 
+    @Test
+    void aReportOfOneRouterIsPassedOnToTheOthersAndToThoseThatConnectLater() {
+        RouterReport report = new CrashEvidence(ROUTER, List.of(), List.of());
+        keeper.receive(new KeeperInput.RouterConnected(ROUTER));
+        keeper.receive(new KeeperInput.RouterConnected(OTHER_ROUTER));
+        keeper.receive(new KeeperInput.RouterReported(report));
+        Incarnation late = Incarnation.of("late-router");
+        keeper.receive(new KeeperInput.RouterConnected(late));
+        assertThat(keeper.outputs(KeeperOutput.ReportRelayed.class))
+                .containsExactly(
+                        new KeeperOutput.ReportRelayed(OTHER_ROUTER, report),
+                        new KeeperOutput.ReportRelayed(late, report));
+    }
+
     @Test
     void twoRequestsNeverShareTokens() {
         keeper.reserve(ROUTER, KEY_ONE, 600);
--- a/edge/src/main/java/org/bramleylatch/edge/KeeperMessageTranslation.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperMessageTranslation.java
@@ -24,6 +24,9 @@
                 .on(KeeperOutput.IntentWon.class, m -> new RouterInput.IntentWon(m.key()))
                 .on(KeeperOutput.IntentLost.class, m -> new RouterInput.IntentLost(m.winner()))
                 .on(KeeperOutput.MoveChanged.class, m -> new RouterInput.MoveChanged(m.move()))
+                .on(
+                        KeeperOutput.ReportRelayed.class,
+                        m -> new RouterInput.ReportReceived(m.report()))
                 .on(
                         KeeperOutput.IntentRefused.class,
                         m -> new RouterInput.IntentRefused(m.key(), m.code()));
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.RetryAdvice;
+import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.edge.Problem;
 import org.bramleylatch.platform.CallerRequestHead;
@@ -108,18 +109,21 @@
      *
      * @param close whether to close the connection after the problem document
      */
-    void refuse(ResultCode code, RunState runState, String detail, boolean close) {
+    void refuse(RouterOutput.Refuse refusal, boolean close) {
         if (started) {
             request.connection().close();
             return;
         }
-        int status = httpStatus(code, runState);
+        int status = httpStatus(refusal.code(), refusal.runState());
         if (status == STATUS_UNAVAILABLE) {
-            double seconds = RetryAdvice.retryAfterMillis(code) / MILLIS_PER_SECOND;
+            long millis =
+                    refusal.retryAfterMillis().orElse(RetryAdvice.retryAfterMillis(refusal.code()));
+            double seconds = millis / MILLIS_PER_SECOND;
             response().putHeader("retry-after", Double.toString(seconds));
         }
         response().setStatusCode(status).putHeader("content-type", "application/problem+json");
-        end(Buffer.buffer(Json.write(Problem.of(code, runState, detail))), close);
+        Problem problem = Problem.of(refusal.code(), refusal.runState(), refusal.detail());
+        end(Buffer.buffer(Json.write(problem)), close);
     }
 
     /** 503 promises that the request did not run; if that is not certain, it becomes 502. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -116,7 +116,13 @@
             metrics.countRefusal(refused.code());
             CallerExchange exchange =
                     new CallerExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
-            exchange.refuse(refused.code(), RunState.NOT_RUN, refused.getMessage(), true);
+            exchange.refuse(
+                    new RouterOutput.Refuse(
+                            RequestId.of(""),
+                            refused.code(),
+                            RunState.NOT_RUN,
+                            refused.getMessage()),
+                    true);
         }
     }
 
@@ -182,13 +188,7 @@
     private void refuse(RouterOutput.Refuse refuse) {
         metrics.countRefusal(refuse.code());
         closeExchange(refuse.request())
-                .ifPresent(
-                        exchange ->
-                                exchange.refuse(
-                                        refuse.code(),
-                                        refuse.runState(),
-                                        refuse.detail(),
-                                        isDraining()));
+                .ifPresent(exchange -> exchange.refuse(refuse, isDraining()));
     }
 
     private boolean isDraining() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -57,12 +57,11 @@
             newRequest.reset();
             return;
         }
-        newRequest.exceptionHandler(
-                failure -> fail(RunState.UNKNOWN, "request failed: " + failure));
+        newRequest.exceptionHandler(failure -> loseConnection("request failed: " + failure));
         newRequest
                 .response()
                 .onSuccess(this::receiveHead)
-                .onFailure(failure -> fail(RunState.UNKNOWN, "no answer: " + failure));
+                .onFailure(failure -> loseConnection("no answer: " + failure));
         newRequest.end(exchange.body());
     }
 
@@ -71,7 +70,12 @@
         if (!finished) {
             finished = true;
             String detail = endpoint + " not connected: " + failure.getMessage();
-            inbox.accept(new RouterInput.AttemptFailed(attempt, RunState.NOT_RUN, detail, false));
+            inbox.accept(
+                    new RouterInput.AttemptFailed(
+                            attempt,
+                            RunState.NOT_RUN,
+                            detail,
+                            RouterInput.AttemptFailed.Cause.NOT_CONNECTED));
         }
     }
 
@@ -92,8 +96,7 @@
         }
         response = Optional.of(answer);
         EndpointAnswerHead head = EndpointAnswerHead.of(answer);
-        answer.exceptionHandler(
-                failure -> fail(RunState.UNKNOWN, "answer interrupted: " + failure));
+        answer.exceptionHandler(failure -> loseConnection("answer interrupted: " + failure));
         if (!head.isAnswerTo(exchange.head().id())) {
             fail(RunState.UNKNOWN, "answer does not match the request");
         } else if (head.reportsNotRun()) {
@@ -164,7 +167,7 @@
                                 receiveWhole(
                                         status,
                                         new String(body.getBytes(), StandardCharsets.ISO_8859_1)))
-                .onFailure(failure -> fail(RunState.UNKNOWN, "answer interrupted: " + failure));
+                .onFailure(failure -> loseConnection("answer interrupted: " + failure));
     }
 
     private void receiveWhole(int status, String body) {
@@ -174,10 +177,20 @@
         }
     }
 
+    private void loseConnection(String detail) {
+        fail(RunState.UNKNOWN, detail, RouterInput.AttemptFailed.Cause.CONNECTION_LOST);
+    }
+
     private void fail(RunState runState, String detail) {
+        fail(runState, detail, RouterInput.AttemptFailed.Cause.OTHER);
+    }
+
+    private void fail(RunState runState, String detail, RouterInput.AttemptFailed.Cause cause) {
         if (!finished) {
             finished = true;
-            inbox.accept(new RouterInput.AttemptFailed(attempt, runState, endpoint + " " + detail));
+            inbox.accept(
+                    new RouterInput.AttemptFailed(
+                            attempt, runState, endpoint + " " + detail, cause));
         }
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -1,10 +1,14 @@
 package org.bramleylatch.gateway;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.net.ConnectException;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
@@ -42,6 +46,7 @@
     private final Consumer<RouterInput> inbox;
     private final HttpClient keepAliveClient;
     private final HttpClient singleUseClient;
+    private final NetClient probeClient;
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
 
     /**
@@ -72,6 +77,9 @@
                         clientOptions().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
                         pool);
         this.singleUseClient = vertx.createHttpClient(clientOptions().setKeepAlive(false), pool);
+        this.probeClient =
+                vertx.createNetClient(
+                        new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     }
 
     /** Starts an attempt; reports it as not run if its caller, request or endpoint is unknown. */
@@ -85,7 +93,7 @@
                             start.attempt(),
                             RunState.NOT_RUN,
                             "no caller, request or endpoint address",
-                            false));
+                            RouterInput.AttemptFailed.Cause.NOT_CONNECTED));
             return;
         }
         EndpointCall call =
@@ -108,6 +116,34 @@
         Optional.ofNullable(calls.remove(cancel.attempt())).ifPresent(EndpointCall::cancel);
     }
 
+    /**
+     * Opens a connection to an endpoint and closes it again. Only a refused connection shows that
+     * the endpoint has ended; behind a network partition, the connection times out.
+     */
+    void probeEndpoint(RouterOutput.ProbeEndpoint probe) {
+        Optional<EndpointEntry> entry = registry.apply(probe.endpoint());
+        if (entry.isEmpty()) {
+            reportProbe(probe, false, "address unknown");
+            return;
+        }
+        probeClient
+                .connect(entry.get().address().port(), entry.get().address().ip())
+                .onSuccess(
+                        socket -> {
+                            socket.close();
+                            reportProbe(probe, false, "connected");
+                        })
+                .onFailure(failure -> reportProbe(probe, isRefused(failure), failure.getMessage()));
+    }
+
+    private void reportProbe(RouterOutput.ProbeEndpoint probe, boolean refused, String detail) {
+        inbox.accept(new RouterInput.EndpointProbed(probe.endpoint(), refused, detail));
+    }
+
+    private static boolean isRefused(Throwable failure) {
+        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+    }
+
     /** Pauses or resumes reading an answer. */
     void setPaused(RouterOutput.PauseAttempt pause) {
         Optional.ofNullable(calls.get(pause.attempt()))
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -93,6 +93,7 @@
     private final RouterConnections routerConnections;
     private final KeeperConnections keeperConnections;
     private final PeerDirectory peerDirectory;
+    private final ReportStore reportStore;
     private final MessageHandlers<RouterOutput> routerHandlers;
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
@@ -132,6 +133,7 @@
         this.keeperConnections =
                 new KeeperConnections(vertx, router, hybridClock, routerLoop::offer);
         this.peerDirectory = peerDirectory();
+        this.reportStore = new ReportStore(vertx, store, routerLoop::offer);
         this.routerHandlers = routerHandlers();
         this.keeperHandlers = keeperHandlers();
     }
@@ -309,6 +311,11 @@
                         peerStream::read,
                         new ReadPace(PEERS_READ_WAIT_MILLIS, () -> 0, MAX_RETRY_PAUSE))
                 .follow(peerDirectory::receivePage, code -> {});
+        KeyedStream reportStream = KeyedStream.routerReports(store);
+        new LogFollower<KeyedPage>(
+                        reportStream::read,
+                        new ReadPace(PEERS_READ_WAIT_MILLIS, () -> 0, MAX_RETRY_PAUSE))
+                .follow(reportStore::receivePage, code -> {});
         peerDirectory.announce();
     }
 
@@ -375,6 +382,8 @@
                 .on(RouterOutput.StartAttempt.class, endpointClient::startAttempt)
                 .on(RouterOutput.CancelAttempt.class, endpointClient::cancelAttempt)
                 .on(RouterOutput.PauseAttempt.class, endpointClient::setPaused)
+                .on(RouterOutput.ProbeEndpoint.class, endpointClient::probeEndpoint)
+                .on(RouterOutput.StoreReport.class, stored -> reportStore.put(stored.report()))
                 .on(RouterOutput.Note.class, note -> recordEvent(note.event()))
                 .on(RouterOutput.Stopped.class, done -> routerStopped.complete(null))
                 .otherwise(callerServer::handleOutput);
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
@@ -149,6 +149,24 @@
         assertThat(receivedRequests).hasSize(2);
     }
 
+    /** Guards against a prompt that is sent from one endpoint to the next and crashes each. */
+    @Test
+    void aPromptThatCrashedTwoEndpointsIsRefusedAtOnceAndTheStoreKnowsWhy() throws Exception {
+        for (int index = 1; index <= 3; index++) {
+            addCrashingEndpoint("i-" + index);
+        }
+        configureAndAwaitReady();
+        assertThat(callWithPrompt("5c1e07a2:60,deadbeef:30,e4402b7d:10").status()).isEqualTo(502);
+        Answer second = callWithPrompt("5c1e07a2:60,deadbeef:30,91bd3f06:10");
+        assertThat(second.status()).isEqualTo(503);
+        assertThat(second.body()).contains("PROMPT_QUARANTINED", "not_run");
+        assertThat(Double.parseDouble(second.header("retry-after"))).isGreaterThan(20);
+        assertThat(receivedRequests).hasSize(2);
+        while (!store.newestValue("keyed.bramleylatch.reports").contains("deadbeef")) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
     @Test
     void aStreamThatEndsWhileTheGatewayStopsIsComplete() throws Exception {
         addEndpoint(
@@ -192,6 +210,22 @@
         store.putEndpoint(id, service, new Address(LOOPBACK, server.actualPort()));
     }
 
+    /** Adds an endpoint that stops listening and closes its connections once it is asked. */
+    private void addCrashingEndpoint(String id) throws Exception {
+        HttpServer server = vertx.createHttpServer();
+        server.requestHandler(
+                request -> {
+                    receivedRequests.add(request);
+                    server.close();
+                    request.connection().close();
+                });
+        server.listen(0, LOOPBACK)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        store.putEndpoint(id, "llm", new Address(LOOPBACK, server.actualPort()));
+    }
+
     private static HttpServerResponse signed(HttpServerRequest request) {
         return request.response()
                 .putHeader("request-id", request.getHeader("request-id"))
@@ -211,18 +245,24 @@
     }
 
     private Answer call(String path, String key) throws Exception {
-        RequestOptions options =
-                new RequestOptions()
-                        .setHost(LOOPBACK)
-                        .setPort(gateway.ports().get(0))
-                        .setMethod(HttpMethod.POST)
-                        .setURI(path + "?q=%20")
-                        .putHeader("host", "ropes.example")
-                        .putHeader("request-id", "request-1")
-                        .putHeader("deadline-ms", "10000")
-                        .putHeader("token-counts", "100,50")
-                        .putHeader("x-api-key", key);
-        return send(options);
+        return send(options(path, key));
+    }
+
+    private Answer callWithPrompt(String parts) throws Exception {
+        return send(options("/chat/1", "secret").putHeader("prompt-prefix", parts));
+    }
+
+    private RequestOptions options(String path, String key) {
+        return new RequestOptions()
+                .setHost(LOOPBACK)
+                .setPort(gateway.ports().get(0))
+                .setMethod(HttpMethod.POST)
+                .setURI(path + "?q=%20")
+                .putHeader("host", "ropes.example")
+                .putHeader("request-id", "request-1")
+                .putHeader("deadline-ms", "10000")
+                .putHeader("token-counts", "100,50")
+                .putHeader("x-api-key", key);
     }
 
     private Answer get(int port, String path) throws Exception {
--- a/wire/src/main/java/org/bramleylatch/wire/Json.java
+++ b/wire/src/main/java/org/bramleylatch/wire/Json.java
@@ -41,6 +41,7 @@
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.core.RouteName;
+import org.bramleylatch.core.RouterReport;
 import org.bramleylatch.core.Version;
 import org.bramleylatch.core.Zone;
 
@@ -67,6 +68,7 @@
                     LedgerSnapshot.Row.class,
                     KeeperInput.class,
                     KeeperOutput.class,
+                    RouterReport.class,
                     ConfigRecord.class);
     private static final ObjectMapper MAPPER = mapper();
 
--- a/wire/src/test/java/org/bramleylatch/wire/CborTest.java
+++ b/wire/src/test/java/org/bramleylatch/wire/CborTest.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.BudgetId;
+import org.bramleylatch.core.CrashEvidence;
+import org.bramleylatch.core.CrashReport;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.GrantKey;
 import org.bramleylatch.core.Incarnation;
@@ -15,10 +17,13 @@
 import org.bramleylatch.core.LedgerRecord;
 import org.bramleylatch.core.MoveRow;
 import org.bramleylatch.core.MoveSpec;
+import org.bramleylatch.core.PartClears;
+import org.bramleylatch.core.PromptPartId;
 import org.bramleylatch.core.RequestKey;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.RouteName;
 import org.bramleylatch.core.RunState;
+import org.bramleylatch.core.SuspectPart;
 import org.bramleylatch.core.Tally;
 import org.bramleylatch.core.Usage;
 import org.bramleylatch.core.Version;
@@ -34,6 +39,17 @@
             new MoveSpec(
                     RouteName.of("chat"), Version.of("v1"), Version.of("v2"), 9, List.of(10), 5);
 
+    private static final PromptPartId PART = new PromptPartId("seilhelfer", "5c1e07a2");
+    private static final CrashEvidence EVIDENCE =
+            new CrashEvidence(
+                    ROUTER,
+                    List.of(
+                            new CrashReport(
+                                    EndpointId.of("endpoint"),
+                                    9,
+                                    List.of(new SuspectPart(PART, 1)))),
+                    List.of(new PartClears(PART, 3)));
+
     @ParameterizedTest
     @MethodSource("messagesToKeepers")
     void aMessageToAKeeperIsDecodedUnchanged(KeeperInput message) {
@@ -55,6 +71,7 @@
                         ROUTER, KEY, AttemptId.of("attempt"), EndpointId.of("endpoint")),
                 new KeeperInput.UsageSubmitted(ROUTER, GRANT, Usage.of(KEY, 7)),
                 new KeeperInput.ReservationReleased(ROUTER, KEY),
+                new KeeperInput.RouterReported(EVIDENCE),
                 new KeeperInput.IntentAsked(ROUTER, KEY, BUDGET),
                 new KeeperInput.IntentEnded(KEY, ROUTER, RunState.RAN, 201, "{}"),
                 new KeeperInput.MoveReported(
@@ -64,6 +81,7 @@
 
     static List<KeeperOutput> messagesToRouters() {
         return List.of(
+                new KeeperOutput.ReportRelayed(ROUTER, EVIDENCE),
                 new KeeperOutput.ReserveGranted(ROUTER, KEY, GRANT),
                 new KeeperOutput.ReserveRefused(ROUTER, KEY, ResultCode.BUDGET_EXHAUSTED),
                 new KeeperOutput.UsageHeld(ROUTER, KEY),
