Do not take a stream that ends before its first event for a complete one

Cause: the end of the connection and the end of the answer look the same without framing, and a stream without any event was not told apart. Change: such an end counts as a lost connection, as does an end within an event, so that both are retried and count as evidence of a crash.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -9,6 +9,7 @@
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.core.RouterInput.AttemptFailed.Cause;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.platform.EndpointAnswerHead;
 
@@ -72,10 +73,7 @@
             String detail = endpoint + " not connected: " + failure.getMessage();
             inbox.accept(
                     new RouterInput.AttemptFailed(
-                            attempt,
-                            RunState.NOT_RUN,
-                            detail,
-                            RouterInput.AttemptFailed.Cause.NOT_CONNECTED));
+                            attempt, RunState.NOT_RUN, detail, Cause.NOT_CONNECTED));
         }
     }
 
@@ -104,7 +102,7 @@
         } else {
             exchange.setAnswerHead(head);
             if (head.isEventStream()) {
-                readStream(answer);
+                readStream(answer, head.endsWithConnection());
             } else {
                 readWhole(answer);
             }
@@ -120,15 +118,20 @@
         inbox.accept(new RouterInput.AttemptFailed(attempt, RunState.NOT_RUN, detail));
     }
 
-    private void readStream(HttpClientResponse answer) {
+    private void readStream(HttpClientResponse answer, boolean endsWithConnection) {
         EventSplitter splitter = new EventSplitter(this::receiveEvent);
         answer.handler(splitter::append);
-        answer.endHandler(end -> endStream(splitter));
+        answer.endHandler(end -> endStream(splitter, endsWithConnection));
     }
 
-    private void endStream(EventSplitter splitter) {
+    private void endStream(EventSplitter splitter, boolean endsWithConnection) {
         if (splitter.hasUnfinishedEvent()) {
-            fail(RunState.RAN, "answer ended within an event");
+            fail(
+                    RunState.RAN,
+                    "answer ended within an event",
+                    endsWithConnection ? Cause.CONNECTION_LOST : Cause.OTHER);
+        } else if (endsWithConnection && deliveredTokens == 0) {
+            loseConnection("connection closed before the first event");
         } else if (!finished) {
             finished = true;
             inbox.accept(new RouterInput.AnswerEnded(attempt, deliveredTokens, "stop"));
@@ -178,14 +181,14 @@
     }
 
     private void loseConnection(String detail) {
-        fail(RunState.UNKNOWN, detail, RouterInput.AttemptFailed.Cause.CONNECTION_LOST);
+        fail(RunState.UNKNOWN, detail, Cause.CONNECTION_LOST);
     }
 
     private void fail(RunState runState, String detail) {
-        fail(runState, detail, RouterInput.AttemptFailed.Cause.OTHER);
+        fail(runState, detail, Cause.OTHER);
     }
 
-    private void fail(RunState runState, String detail, RouterInput.AttemptFailed.Cause cause) {
+    private void fail(RunState runState, String detail, Cause cause) {
         if (!finished) {
             finished = true;
             inbox.accept(
--- /dev/null
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -0,0 +1,177 @@
+package org.bramleylatch.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.RequestOptions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.bramleylatch.core.Zone;
+import org.bramleylatch.edge.MonotonicClock;
+import org.bramleylatch.platform.BootFile;
+import org.bramleylatch.platform.LoopbackStore;
+import org.bramleylatch.platform.PlatformLimits;
+import org.bramleylatch.wire.Address;
+
+/** Runs a complete gateway on loopback; tests act as its callers and endpoints. */
+final class GatewayHarness {
+    static final String LOOPBACK = "127.0.0.1";
+    private static final long AWAIT_TIMEOUT_SECONDS = 20;
+    private static final String CONFIG =
+            """
+            {"version": 1,
+             "routes": [
+              {"name": "chat", "host": "ropes.example", "pathPrefix": "/chat/",
+               "kind": "streaming", "service": "llm", "maxAttempts": 2, "resumable": true,
+               "sticky": true, "timeoutMs": 15000, "targetLatencyMs": 400},
+              {"name": "orders", "host": "ropes.example", "pathPrefix": "/orders/",
+               "kind": "unsafe", "service": "app", "maxAttempts": 2, "timeoutMs": 15000,
+               "targetLatencyMs": 400}],
+             "services": [{"name": "llm", "engine": {"kvCapacity": 100000, "stride": 4}}],
+             "tenants": [{"name": "ropes", "apiKeys": ["secret"], "prepaid": 100000}]}
+            """;
+
+    final Vertx vertx = Vertx.vertx();
+    final List<HttpServerRequest> receivedRequests = new CopyOnWriteArrayList<>();
+    private final List<RawEndpoint> rawEndpoints = new ArrayList<>();
+    private LoopbackStore store;
+    private GatewayDaemon gateway;
+
+    /** Starts the gateway and its store, without a configuration. */
+    void start() throws Exception {
+        store = LoopbackStore.start(vertx).join();
+        Address anyPort = new Address(LOOPBACK, 0);
+        BootFile boot =
+                new BootFile(
+                        "front-1",
+                        Zone.of("langnau"),
+                        anyPort,
+                        anyPort,
+                        anyPort,
+                        store.address(),
+                        300_000,
+                        new PlatformLimits(8_000, 200, 56, 10_000));
+        gateway =
+                GatewayDaemon.start(
+                                MonotonicClock.system(),
+                                boot,
+                                GatewaySettings.read("../deploy/gateway.json"))
+                        .join();
+    }
+
+    void stop() {
+        rawEndpoints.forEach(RawEndpoint::close);
+        vertx.close();
+    }
+
+    LoopbackStore store() {
+        return store;
+    }
+
+    GatewayDaemon gateway() {
+        return gateway;
+    }
+
+    /** Adds an endpoint that answers with any bytes; each connection gets one request. */
+    void addRawEndpoint(String service, String id, RawEndpoint.Behavior behavior) throws Exception {
+        RawEndpoint endpoint = RawEndpoint.start(behavior);
+        rawEndpoints.add(endpoint);
+        store.putEndpoint(id, service, new Address(LOOPBACK, endpoint.port()));
+    }
+
+    /** Publishes the configuration and waits until the gateway serves by it. */
+    void configureAndAwaitReady() throws Exception {
+        store.putConfiguration(CONFIG);
+        int port = gateway.ports().get(1);
+        while (get(port, "/ready").status() != 200) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        while (call("/nowhere", "secret").status() == 503) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    /** Adds an endpoint; its behavior gets the request and the number of requests so far. */
+    void addEndpoint(String service, String id, BiConsumer<HttpServerRequest, Integer> behaviour)
+            throws Exception {
+        HttpServer server =
+                vertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    receivedRequests.add(request);
+                                    behaviour.accept(request, receivedRequests.size());
+                                })
+                        .listen(0, LOOPBACK)
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        store.putEndpoint(id, service, new Address(LOOPBACK, server.actualPort()));
+    }
+
+    static String event(int id) {
+        return "id: " + id + "\ndata: word\n\n";
+    }
+
+    /** Sends a request with the key that the configuration knows. */
+    Answer call(String path) throws Exception {
+        return call(path, "secret");
+    }
+
+    Answer call(String path, String key) throws Exception {
+        return send(options(path, key));
+    }
+
+    Answer callWithPrompt(String parts) throws Exception {
+        return send(options("/chat/1", "secret").putHeader("prompt-prefix", parts));
+    }
+
+    private RequestOptions options(String path, String key) {
+        return new RequestOptions()
+                .setHost(LOOPBACK)
+                .setPort(gateway.ports().get(0))
+                .setMethod(HttpMethod.POST)
+                .setURI(path + "?q=%20")
+                .putHeader("host", "ropes.example")
+                .putHeader("request-id", "request-1")
+                .putHeader("deadline-ms", "10000")
+                .putHeader("token-counts", "100,50")
+                .putHeader("x-api-key", key);
+    }
+
+    private Answer get(int port, String path) throws Exception {
+        return send(
+                new RequestOptions()
+                        .setHost(LOOPBACK)
+                        .setPort(port)
+                        .setMethod(HttpMethod.GET)
+                        .setURI(path));
+    }
+
+    private Answer send(RequestOptions options) throws Exception {
+        return vertx.createHttpClient()
+                .request(options)
+                .compose(request -> request.send(Buffer.buffer("body")))
+                .compose(response -> response.body().map(body -> Answer.of(response, body)))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    record Answer(HttpClientResponse head, int status, String body) {
+
+        static Answer of(HttpClientResponse head, Buffer body) {
+            return new Answer(head, head.statusCode(), body.toString());
+        }
+
+        String header(String name) {
+            String value = head.getHeader(name);
+            return value == null ? "" : value;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RawEndpoint.java
@@ -0,0 +1,83 @@
+package org.bramleylatch.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** Simulates an endpoint that writes any bytes to its connections, on a thread of its own. */
+final class RawEndpoint {
+    private static final int MAX_HEAD_BYTES = 8_192;
+
+    private final ServerSocket server;
+
+    /** Answers one request. */
+    @FunctionalInterface
+    interface Behavior {
+        void answer(Socket socket) throws IOException, InterruptedException;
+    }
+
+    private RawEndpoint(ServerSocket server) {
+        this.server = server;
+    }
+
+    /** Starts an endpoint on a free port of the loopback address. */
+    static RawEndpoint start(Behavior behavior) throws IOException {
+        RawEndpoint endpoint =
+                new RawEndpoint(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        startThread(() -> endpoint.accept(behavior));
+        return endpoint;
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    void close() {
+        try {
+            server.close();
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    /** Writes the text, one byte for each character. */
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Closes the connection with a reset. */
+    static void reset(Socket socket) throws IOException, InterruptedException {
+        Thread.sleep(50);
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    private void accept(Behavior behavior) {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                startThread(() -> serve(socket, behavior));
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private static void serve(Socket socket, Behavior behavior) {
+        try (socket) {
+            socket.getInputStream().read(new byte[MAX_HEAD_BYTES]);
+            behavior.answer(socket);
+        } catch (IOException | InterruptedException closed) {
+            // The gateway closed the connection, which some tests wait for.
+        }
+    }
+
+    private static void startThread(Runnable task) {
+        Thread thread = new Thread(task, "raw-endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
