--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -17,6 +17,10 @@
     ENDPOINT_CRASHED,
     /** An endpoint broke attempts off but still accepts connections. */
     ENDPOINT_CONNECTION_RESET,
+    /** An endpoint named a limit on the requests per second from all routers, or another one. */
+    ENDPOINT_LIMITED,
+    /** An endpoint no longer names a limit. */
+    ENDPOINT_LIMIT_ENDED,
     /** Requests with a part of a prompt that crashes endpoints are refused from now on. */
     PART_QUARANTINED,
     /** Requests with a part of a prompt are sent to endpoints again. */
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -42,6 +42,7 @@
         Admission admission = new Admission(world, limits, nowMillis);
         AnswerRelay answers = new AnswerRelay(world, limits, nowMillis);
         FleetUpdates fleet = new FleetUpdates(world, limits, nowMillis);
+        RateLimits limitHandler = new RateLimits(world, nowMillis);
         CrashDetection crashes = new CrashDetection(world, nowMillis);
         CallResolver callResolver = new CallResolver(world, admission);
         RegistryUpdates registry = new RegistryUpdates(world, limits, nowMillis);
@@ -66,7 +67,8 @@
                 .on(UsageHeld.class, usage -> Settlements.finishAnswer(world, usage.key()))
                 .on(UsageDurable.class, usage -> Settlements.close(world, usage.key()));
         handlers.on(RouterInput.EndpointProbed.class, crashes::applyProbe)
-                .on(RouterInput.ReportReceived.class, crashes::applyReport);
+                .on(RouterInput.ReportReceived.class, crashes::applyReport)
+                .on(RouterInput.RateLimitObserved.class, limitHandler::applyObservation);
         handlers.on(ConfigurationReceived.class, fleet::applyConfiguration)
                 .on(EndpointsListed.class, fleet::applyListing)
                 .on(EndpointReported.class, fleet::applyReport)
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -1,6 +1,7 @@
 package org.bramleylatch.core;
 
 import java.util.List;
+import java.util.Optional;
 
 /** Marks the messages that a router's world receives. */
 public sealed interface RouterInput {
@@ -137,6 +138,14 @@
     record EndpointProbed(EndpointId endpoint, boolean refused, String detail)
             implements RouterInput {}
 
+    /**
+     * Reports the limit that an endpoint names in an answer.
+     *
+     * @param requestsPerSecond what it takes from all routers together; empty if it names no limit
+     */
+    record RateLimitObserved(EndpointId endpoint, Optional<Double> requestsPerSecond)
+            implements RouterInput {}
+
     /** Carries what a router told all others. */
     record ReportReceived(RouterReport report) implements RouterInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -22,6 +22,7 @@
     private final Table<RouteName, RouterMoveRow> moves = Table.empty();
     private final Table<RequestId, List<Incarnation>> remainingLenders = Table.empty();
     private final Table<GrantKey, Long> lenderBackoffUntilMillis = Table.empty();
+    private final Table<EndpointId, RateLimitRow> rateLimits = Table.empty();
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
@@ -140,6 +141,11 @@
         return lenderBackoffUntilMillis;
     }
 
+    /** Returns the limits that endpoints name now. */
+    Table<EndpointId, RateLimitRow> rateLimits() {
+        return rateLimits;
+    }
+
     /** Returns what is known about prompts that crash endpoints. */
     CrashTables crashTables() {
         return crashTables;
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -95,6 +95,10 @@
         response = Optional.of(answer);
         EndpointAnswerHead head = EndpointAnswerHead.of(answer);
         answer.exceptionHandler(failure -> loseConnection("answer interrupted: " + failure));
+        if (!head.isMisdirected()) {
+            inbox.accept(
+                    new RouterInput.RateLimitObserved(endpoint, head.requestsPerSecondLimit()));
+        }
         if (!head.isAnswerTo(exchange.head().id())) {
             fail(RunState.UNKNOWN, "answer does not match the request");
         } else if (head.reportsNotRun()) {
