Share the limit that an endpoint names among all routers

Cause: nobody read the limit, and each router kept near it only by itself: no VM alone sent more than 16 requests in 4 s, all together up to 44. Class: a bound on a sum that each VM keeps alone. Ruled out: retries of the stopped VM (the excess began before its stop).

Change: a router tells all others what an endpoint names to it, and its own demand. Each takes a share of the limit in proportion to its demand, in a token bucket that saves one request; at most 3 + 1.5 x the limit routers, the first in rendezvous order, use an endpoint, so that the saved requests stay within the platform's rule at any number of routers. Routers that can't be reached keep their part. After the limit has ended, the shares double each second for six seconds. A request that no endpoint may take in time is refused at once with the time of the next permit. Long prompts get the permits first.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -15,7 +15,7 @@
  */
 record Admission(RouterWorld world, RouterLimits limits, long nowMillis) {
     /** A request that has queued for half of its latency objective can hardly meet it. */
-    private static final int QUEUE_WAIT_DIVISOR = 2;
+    static final int QUEUE_WAIT_DIVISOR = 2;
 
     /** A key issued further ahead of this router's clock is refused as malformed. */
     private static final long MAX_KEY_AHEAD_MILLIS = 10 * 60 * 1_000L;
--- a/core/src/main/java/org/bramleylatch/core/CrashDetection.java
+++ b/core/src/main/java/org/bramleylatch/core/CrashDetection.java
@@ -4,9 +4,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.bramleylatch.core.RouterInput.AttemptFailed;
 import org.bramleylatch.core.RouterInput.EndpointProbed;
-import org.bramleylatch.core.RouterInput.ReportReceived;
 
 /**
  * Tells crashes of endpoints from other broken connections, and collects the prompts that were
@@ -49,27 +49,20 @@
     }
 
     /** Adds what another router, or an earlier run of this one, has seen. */
-    boolean applyReport(ReportReceived received) {
-        if (received.report() instanceof CrashEvidence evidence
-                && !evidence.router().equals(world.self())) {
-            boolean isOwnEarlierRun = evidence.router().isOtherRunOf(world.self());
-            evidence.crashes()
-                    .forEach(
-                            crash -> {
-                                if (isOwnEarlierRun) {
-                                    world.crashTables().addOwnCrash(crash, nowMillis);
-                                } else {
-                                    world.crashTables().addCrash(crash, nowMillis);
-                                }
-                            });
-            evidence.clears()
-                    .forEach(
-                            clears ->
-                                    world.crashTables()
-                                            .addReportedClears(evidence.router().value(), clears));
-            return true;
+    boolean applyEvidence(CrashEvidence evidence) {
+        if (evidence.router().equals(world.self())) {
+            return false;
         }
-        return false;
+        CrashTables tables = world.crashTables();
+        boolean isOwnEarlierRun = evidence.router().isOtherRunOf(world.self());
+        Consumer<CrashReport> addition =
+                isOwnEarlierRun
+                        ? crash -> tables.addOwnCrash(crash, nowMillis)
+                        : crash -> tables.addCrash(crash, nowMillis);
+        evidence.crashes().forEach(addition);
+        evidence.clears()
+                .forEach(clears -> tables.addReportedClears(evidence.router().value(), clears));
+        return true;
     }
 
     private void record(CrashReport report) {
--- a/core/src/main/java/org/bramleylatch/core/Incarnation.java
+++ b/core/src/main/java/org/bramleylatch/core/Incarnation.java
@@ -28,6 +28,13 @@
         return value.indexOf('@') > 0 && !equals(other) && stableName().equals(other.stableName());
     }
 
+    /** Returns the name of the VM in a value of the form PROCESS@VM-RUN; else the whole value. */
+    String vm() {
+        return value.indexOf('@') < 0
+                ? value
+                : stableName().substring(stableName().indexOf('@') + 1);
+    }
+
     /** Returns the part of the value before the last hyphen, which all runs share; may be empty. */
     String stableName() {
         return value.substring(0, Math.max(0, value.lastIndexOf('-')));
--- a/core/src/main/java/org/bramleylatch/core/Placement.java
+++ b/core/src/main/java/org/bramleylatch/core/Placement.java
@@ -17,6 +17,16 @@
      */
     Optional<EndpointRow> choose(RequestSpec spec, Zone zone, List<EndpointRow> candidates);
 
+    /**
+     * Returns the endpoint that probably has the request's shared prefix in its cache; empty if
+     * this placement does not keep prefixes at particular endpoints.
+     *
+     * @param accepting endpoints that accept work, with or without capacity for the request
+     */
+    default Optional<EndpointRow> findCached(RequestSpec spec, List<EndpointRow> accepting) {
+        return Optional.empty();
+    }
+
     /**
      * Returns the placement by the expected work before the first token, with one preferred
      * endpoint for each shared prefix over all zones.
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -38,12 +38,61 @@
             RequestCompletion.refuse(world, row, code, "no endpoint can serve the request");
             return;
         }
+        RateLimits rateLimits = new RateLimits(world, nowMillis);
         long worstCaseTokens = row.spec().worstCaseTokens();
         List<EndpointRow> withCapacity =
-                accepting.stream().filter(e -> e.hasCapacityFor(worstCaseTokens)).toList();
+                accepting.stream()
+                        .filter(e -> e.hasCapacityFor(worstCaseTokens))
+                        .toList();
+        List<EndpointRow> withPermit =
+                withCapacity.stream().filter(e -> rateLimits.allows(e.id())).toList();
         placement
-                .choose(row.spec(), world.zone(), withCapacity)
-                .ifPresent(endpoint -> start(world, row, endpoint, nowMillis));
+                .choose(
+                        row.spec(),
+                        world.zone(),
+                        rateLimits.prefer(
+                                row.spec(),
+                                withPermit,
+                                placement.findCached(row.spec(), accepting)))
+                .ifPresentOrElse(
+                        endpoint -> start(world, row, endpoint, nowMillis),
+                        () -> refuseIfLimited(world, row, withCapacity, rateLimits));
+    }
+
+    /**
+     * Refuses a request at once if only limits keep it from all endpoints and no permit comes in
+     * time. A stream that has begun keeps waiting, as nobody else can continue it.
+     */
+    private static void refuseIfLimited(
+            RouterWorld world,
+            RequestRow row,
+            List<EndpointRow> withCapacity,
+            RateLimits rateLimits) {
+        long maxWaitMillis =
+                row.spec().route().options().targetLatencyMillis() / Admission.QUEUE_WAIT_DIVISOR;
+        if (withCapacity.isEmpty() || row.deliveredTokens() > 0 || maxWaitMillis == 0) {
+            return;
+        }
+        int queuedUpTo =
+                (int)
+                        world.queuedRequests().stream()
+                                .flatMap(id -> world.requests().find(id).stream())
+                                .filter(other -> comesBeforeOrIs(other, row))
+                                .count();
+        Optional<Long> waitMillis = rateLimits.waitMillis(withCapacity, queuedUpTo);
+        if (waitMillis.filter(millis -> millis <= maxWaitMillis).isEmpty()) {
+            RequestCompletion.refuse(
+                    world,
+                    row,
+                    ResultCode.OVERLOADED,
+                    "all endpoints limit their requests per second",
+                    waitMillis);
+        }
+    }
+
+    private static boolean comesBeforeOrIs(RequestRow other, RequestRow row) {
+        return other.spec().backEnd().equals(row.spec().backEnd())
+                && other.spec().traits().priority() <= row.spec().traits().priority();
     }
 
     /**
@@ -62,6 +111,7 @@
     }
 
     private void start(RouterWorld world, RequestRow row, EndpointRow endpoint, long nowMillis) {
+        new RateLimits(world, nowMillis).countRequest(endpoint.id());
         AttemptId attempt = world.newAttemptId();
         RequestSpec spec = row.spec();
         long worstCaseTokens = spec.worstCaseTokens();
--- a/core/src/main/java/org/bramleylatch/core/PrefixPlacement.java
+++ b/core/src/main/java/org/bramleylatch/core/PrefixPlacement.java
@@ -26,16 +26,19 @@
 
     @Override
     public Optional<EndpointRow> choose(RequestSpec spec, Zone zone, List<EndpointRow> candidates) {
-        Optional<EndpointId> preferred =
-                spec.traits().sharedPrefixTokens() == 0
-                        ? Optional.empty()
-                        : candidates.stream()
-                                .max(Comparator.comparingLong(row -> hash(spec.prefixHash(), row)))
-                                .map(EndpointRow::id);
+        Optional<EndpointId> preferred = findCached(spec, candidates).map(EndpointRow::id);
         return candidates.stream()
                 .min(Comparator.comparingDouble(row -> cost(spec, zone, row, preferred)));
     }
 
+    @Override
+    public Optional<EndpointRow> findCached(RequestSpec spec, List<EndpointRow> accepting) {
+        return spec.traits().sharedPrefixTokens() == 0
+                ? Optional.empty()
+                : accepting.stream()
+                        .max(Comparator.comparingLong(row -> hash(spec.prefixHash(), row)));
+    }
+
     private static double cost(
             RequestSpec spec, Zone zone, EndpointRow row, Optional<EndpointId> preferred) {
         boolean isCached = preferred.filter(row.id()::equals).isPresent();
--- a/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
@@ -113,7 +113,7 @@
                         .filter(row -> row.clears() > 0)
                         .sorted((a, b) -> a.id().compareTo(b.id()))
                         .toList();
-        world.report(
+        world.reportAndStore(
                 new CrashEvidence(world.self(), tables.ownCrashes().where(row -> true), clears));
     }
 
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/RateShare.java
@@ -0,0 +1,83 @@
+package org.bramleylatch.core;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides a router's share of an endpoint's limit. Routers use an endpoint in proportion to their
+ * demand. Each bucket may save one request, so the number of routers that use an endpoint is
+ * bounded by its limit: the first in rendezvous order, on which routers agree without
+ * communication. Thus the sum stays near the limit in every span of a few seconds, however many
+ * routers there are.
+ */
+record RateShare(RouterWorld world, long nowMillis) {
+    /** If no router was told of the limit for this long, those that use the endpoint are idle. */
+    private static final long UNUSED_MILLIS = 5_000;
+
+    /** The saved requests of all routers stay within half a limit's worth of four seconds. */
+    private static final double USERS_PER_REQUEST_PER_SECOND = 1.5;
+
+    private static final int MIN_USERS = 3;
+
+    /** A router without demand keeps this part of a mean share for its next request. */
+    private static final double MIN_DEMAND_FACTOR = 0.1;
+
+    /**
+     * Returns the requests per second that this router may send to the endpoint. Routers that it
+     * can't reach keep their part, so that both sides of a network partition together stay within
+     * the limit.
+     */
+    double perSecond(RateLimitRow row) {
+        int reachable = Math.max(1, world.keepers().size());
+        int routers = Math.max(world.routerCount(), reachable);
+        double allowedPerSecond = row.allowedPerSecond(nowMillis);
+        Optional<Incarnation> self = world.localKeeper();
+        boolean isUnused = nowMillis - row.heardMillis() > UNUSED_MILLIS;
+        if (isUnused || self.isEmpty()) {
+            return allowedPerSecond / routers;
+        }
+        double reachablePerSecond = allowedPerSecond * reachable / routers;
+        List<Incarnation> users = users(row.endpoint(), reachablePerSecond);
+        return users.contains(self.get())
+                ? reachablePerSecond * demandShare(row.endpoint(), self.get(), users)
+                : 0;
+    }
+
+    private List<Incarnation> users(EndpointId endpoint, double reachablePerSecond) {
+        long maxUsers = (long) (MIN_USERS + USERS_PER_REQUEST_PER_SECOND * reachablePerSecond);
+        return world.keepers().stream()
+                .sorted(Comparator.comparingInt(keeper -> rank(endpoint, keeper)))
+                .limit(maxUsers)
+                .toList();
+    }
+
+    private int rank(EndpointId endpoint, Incarnation keeper) {
+        return Rendezvous.rank(endpoint.value(), keeper, world.keepers());
+    }
+
+    private double demandShare(EndpointId endpoint, Incarnation self, List<Incarnation> users) {
+        String backEnd = world.endpoints().find(endpoint).map(EndpointRow::backEnd).orElse("");
+        double known = 0;
+        int unknown = 0;
+        for (Incarnation user : users) {
+            Optional<Double> demand = demand(backEnd, user);
+            known += demand.orElse(0.0);
+            unknown += demand.isPresent() ? 0 : 1;
+        }
+        double mean = known == 0 ? 1 : known / (users.size() - unknown);
+        double sum = users.stream().mapToDouble(user -> boundedDemand(backEnd, user, mean)).sum();
+        return boundedDemand(backEnd, self, mean) / sum;
+    }
+
+    /** Returns the demand of a router; that of one that has not told it is taken as the mean. */
+    private double boundedDemand(String backEnd, Incarnation user, double mean) {
+        return Math.max(MIN_DEMAND_FACTOR * mean, demand(backEnd, user).orElse(mean));
+    }
+
+    private Optional<Double> demand(String backEnd, Incarnation user) {
+        return world.localKeeper().filter(user::equals).isPresent()
+                ? Optional.of(new RateLimits(world, nowMillis).demandPerSecond(backEnd))
+                : world.demands().find(new RouterWorld.DemandSource(user.vm(), backEnd));
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/Rendezvous.java
+++ b/core/src/main/java/org/bramleylatch/core/Rendezvous.java
@@ -16,6 +16,12 @@
         return candidates.stream().max(Comparator.comparingLong(c -> weight(key, c)));
     }
 
+    /** Returns how many of the candidates come before the given one in the order for the key. */
+    static int rank(String key, Incarnation candidate, Collection<Incarnation> candidates) {
+        long ownWeight = weight(key, candidate);
+        return (int) candidates.stream().filter(other -> weight(key, other) > ownWeight).count();
+    }
+
     private static long weight(String key, Incarnation candidate) {
         return Hashing.murmur3_128()
                 .hashString(key + '/' + candidate.value(), StandardCharsets.UTF_8)
--- a/core/src/main/java/org/bramleylatch/core/RetryRow.java
+++ b/core/src/main/java/org/bramleylatch/core/RetryRow.java
@@ -48,6 +48,18 @@
         return retries < allowedByRequests + limits.retryBurst() / Math.max(1, routerCount);
     }
 
+    /** Returns the requests per second over the complete seconds that are counted. */
+    double requestsPerSecond(long nowMillis) {
+        long second = nowMillis / BUCKET_MILLIS;
+        long oldestSecond = buckets.stream().mapToLong(Bucket::second).min().orElse(second);
+        long requests =
+                buckets.stream()
+                        .filter(bucket -> bucket.second() < second)
+                        .mapToLong(Bucket::requests)
+                        .sum();
+        return second == oldestSecond ? 0 : requests / (double) (second - oldestSecond);
+    }
+
     private RetryRow withCounts(long nowMillis, long windowMillis, int requests, int retries) {
         long second = nowMillis / BUCKET_MILLIS;
         long oldestSecond = (nowMillis - windowMillis) / BUCKET_MILLIS;
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -42,8 +42,12 @@
         Admission admission = new Admission(world, limits, nowMillis);
         AnswerRelay answers = new AnswerRelay(world, limits, nowMillis);
         FleetUpdates fleet = new FleetUpdates(world, limits, nowMillis);
-        RateLimits limitHandler = new RateLimits(world, nowMillis);
+        RateLimits rateLimits = new RateLimits(world, nowMillis);
         CrashDetection crashes = new CrashDetection(world, nowMillis);
+        Dispatch<RouterReport, Boolean> reports =
+                Dispatch.<RouterReport, Boolean>empty()
+                        .on(CrashEvidence.class, crashes::applyEvidence)
+                        .on(LimitReport.class, rateLimits::applyReport);
         CallResolver callResolver = new CallResolver(world, admission);
         RegistryUpdates registry = new RegistryUpdates(world, limits, nowMillis);
         Dispatch<RouterInput, Boolean> handlers = Dispatch.empty();
@@ -67,8 +71,8 @@
                 .on(UsageHeld.class, usage -> Settlements.finishAnswer(world, usage.key()))
                 .on(UsageDurable.class, usage -> Settlements.close(world, usage.key()));
         handlers.on(RouterInput.EndpointProbed.class, crashes::applyProbe)
-                .on(RouterInput.ReportReceived.class, crashes::applyReport)
-                .on(RouterInput.RateLimitObserved.class, limitHandler::applyObservation);
+                .on(RouterInput.ReportReceived.class, received -> reports.apply(received.report()))
+                .on(RouterInput.RateLimitObserved.class, rateLimits::applyObservation);
         handlers.on(ConfigurationReceived.class, fleet::applyConfiguration)
                 .on(EndpointsListed.class, fleet::applyListing)
                 .on(EndpointReported.class, fleet::applyReport)
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -16,6 +16,7 @@
                 new RouterInboxSystem(limits),
                 new RouterTimerSystem(limits),
                 new QuarantineSystem(),
+                new RateLimitSystem(),
                 new PlacementSystem(placement, limits),
                 new SettlementSystem(),
                 new MoveReportSystem(limits),
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -31,6 +31,7 @@
                                                 .remove(due.endpoint()))
                         .on(MoveReport.class, due -> true)
                         .on(RouterTimer.EvidenceExpiry.class, due -> true)
+                        .on(RouterTimer.PermitCheck.class, due -> true)
                         .on(
                                 UsageHoldTimeout.class,
                                 due -> Settlements.finishAnswer(world, due.key()));
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -23,6 +23,9 @@
     private final Table<RequestId, List<Incarnation>> remainingLenders = Table.empty();
     private final Table<GrantKey, Long> lenderBackoffUntilMillis = Table.empty();
     private final Table<EndpointId, RateLimitRow> rateLimits = Table.empty();
+    private final Table<EndpointId, EndpointLimit> ownLimits = Table.empty();
+    private final Table<DemandSource, Double> demands = Table.empty();
+    private final Table<LimitSource, EndpointLimit> heardLimits = Table.empty();
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
@@ -35,6 +38,7 @@
     private boolean stopping;
     private int routerCount = 1;
     private long nextMoveReportMillis;
+    private long nextLimitReportMillis;
     private boolean registryReachable;
     private long registryRecoveredMillis;
 
@@ -141,11 +145,40 @@
         return lenderBackoffUntilMillis;
     }
 
-    /** Returns the limits that endpoints name now. */
+    /** Names a router and an endpoint that named a limit to it. */
+    record LimitSource(String router, EndpointId endpoint) {}
+
+    /** Returns the limits that endpoints name now, or named a few seconds ago. */
     Table<EndpointId, RateLimitRow> rateLimits() {
         return rateLimits;
     }
 
+    /** Names a VM and a back end for which its router gets requests. */
+    record DemandSource(String vm, String backEnd) {}
+
+    /** Returns what endpoints named in their latest answers to this router. */
+    Table<EndpointId, EndpointLimit> ownLimits() {
+        return ownLimits;
+    }
+
+    /** Returns the requests per second of other routers, as they last told. */
+    Table<DemandSource, Double> demands() {
+        return demands;
+    }
+
+    long nextLimitReportMillis() {
+        return nextLimitReportMillis;
+    }
+
+    void setNextLimitReportMillis(long millis) {
+        nextLimitReportMillis = millis;
+    }
+
+    /** Returns the newest limit that each other router told of each endpoint. */
+    Table<LimitSource, EndpointLimit> heardLimits() {
+        return heardLimits;
+    }
+
     /** Returns what is known about prompts that crash endpoints. */
     CrashTables crashTables() {
         return crashTables;
@@ -191,6 +224,10 @@
         registryRecoveredMillis = millis;
     }
 
+    Optional<Incarnation> localKeeper() {
+        return localKeeper;
+    }
+
     void setLocalKeeper(Incarnation keeper) {
         localKeeper = Optional.of(keeper);
     }
@@ -225,12 +262,17 @@
     }
 
     /** Tells all other routers, through the keepers, and stores what they are told. */
+    void reportAndStore(RouterReport report) {
+        report(report);
+        send(new RouterOutput.StoreReport(report));
+    }
+
+    /** Tells all other routers, through the keepers. */
     void report(RouterReport report) {
         KeeperInput message = new KeeperInput.RouterReported(report);
         localKeeper.map(Set::of).orElse(keepers).stream()
                 .map(keeper -> new RouterOutput.ToKeeper(keeper, message))
                 .forEach(this::send);
-        send(new RouterOutput.StoreReport(report));
     }
 
     /**
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -16,7 +16,7 @@
     private static final Zone ZONE = Zone.of("langnau");
     private static final RouteOptions RESUMABLE =
             new RouteOptions(
-                    Optional.empty(), true, false, true, true, false, 2, 0, 0, 0, List.of());
+                    Optional.empty(), true, false, true, true, false, 2, 0, 0, 500, List.of());
     private static final RouteRow CHAT =
             new RouteRow(
                     RouteName.of("chat"),
@@ -67,6 +67,7 @@
                         name -> {
                             receive(name, new RouterInput.KeeperUp(keeper(vm)));
                             receive(vm, new RouterInput.KeeperUp(keeper(name)));
+                            receive(name, new RouterInput.RoutersCounted(routers.size()));
                         });
     }
 
@@ -75,6 +76,12 @@
         connected = isConnected;
     }
 
+    /** Breaks the connections between two routers and each other's keepers. */
+    void disconnect(String vm, String other) {
+        receive(vm, new RouterInput.KeeperDown(keeper(other)));
+        receive(other, new RouterInput.KeeperDown(keeper(vm)));
+    }
+
     /** Lets a request with these shared parts arrive; returns its id. */
     RequestId arrive(String vm, String... parts) {
         count++;
@@ -96,6 +103,23 @@
         return id;
     }
 
+    /** Lets an endpoint answer a router with a limit; empty for an answer without one. */
+    void answerWithLimit(String vm, EndpointId endpoint, Optional<Double> requestsPerSecond) {
+        receive(vm, new RouterInput.RateLimitObserved(endpoint, requestsPerSecond));
+    }
+
+    /** Returns the ids of the endpoints, in the order in which they were started. */
+    List<EndpointId> endpointIds() {
+        return endpoints.stream().map(EndpointRow::id).toList();
+    }
+
+    /** Removes and returns the attempts that all routers started since the last call. */
+    List<RouterOutput.StartAttempt> takeStarted() {
+        return routers.keySet().stream()
+                .flatMap(vm -> take(vm, RouterOutput.StartAttempt.class).stream())
+                .toList();
+    }
+
     /** Begins the answers of all running requests: crashes the endpoint, or completes them. */
     void answerAll() {
         routers.keySet().forEach(this::crashEndpoints);
@@ -242,12 +266,19 @@
             outputs.get(vm).addAll(world.outbox().take(Integer.MAX_VALUE));
         } while (!world.inbox().isEmpty());
         if (connected) {
-            take(vm, RouterOutput.StoreReport.class).forEach(stored -> relay(vm, stored.report()));
+            take(vm, RouterOutput.StoreReport.class)
+                    .forEach(
+                            stored ->
+                                    storedReports.put(stored.report().subject(), stored.report()));
+            take(vm, RouterOutput.ToKeeper.class).stream()
+                    .map(RouterOutput.ToKeeper::message)
+                    .filter(KeeperInput.RouterReported.class::isInstance)
+                    .map(KeeperInput.RouterReported.class::cast)
+                    .forEach(reported -> relay(vm, reported.report()));
         }
     }
 
     private void relay(String vm, RouterReport report) {
-        storedReports.put(report.subject(), report);
         routers.keySet().stream()
                 .filter(name -> !name.equals(vm))
                 .forEach(name -> receive(name, new RouterInput.ReportReceived(report)));
@@ -264,7 +295,7 @@
     }
 
     private static Incarnation keeper(String vm) {
-        return Incarnation.of("keeper@" + vm);
+        return Incarnation.of("keeper@" + vm + "-0");
     }
 
     private AttemptId attemptId() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -95,7 +95,7 @@
         response = Optional.of(answer);
         EndpointAnswerHead head = EndpointAnswerHead.of(answer);
         answer.exceptionHandler(failure -> loseConnection("answer interrupted: " + failure));
-        if (!head.isMisdirected()) {
+        if (head.isSuccess() || head.requestsPerSecondLimit().isPresent()) {
             inbox.accept(
                     new RouterInput.RateLimitObserved(endpoint, head.requestsPerSecondLimit()));
         }
--- a/wire/src/test/java/org/bramleylatch/wire/CborTest.java
+++ b/wire/src/test/java/org/bramleylatch/wire/CborTest.java
@@ -5,16 +5,19 @@
 import java.util.List;
 import java.util.Optional;
 import org.bramleylatch.core.AttemptId;
+import org.bramleylatch.core.BackEndDemand;
 import org.bramleylatch.core.BudgetId;
 import org.bramleylatch.core.CrashEvidence;
 import org.bramleylatch.core.CrashReport;
 import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.EndpointLimit;
 import org.bramleylatch.core.GrantKey;
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.IntentRow;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.KeeperOutput;
 import org.bramleylatch.core.LedgerRecord;
+import org.bramleylatch.core.LimitReport;
 import org.bramleylatch.core.MoveRow;
 import org.bramleylatch.core.MoveSpec;
 import org.bramleylatch.core.PartClears;
@@ -50,6 +53,14 @@
                                     List.of(new SuspectPart(PART, 1)))),
                     List.of(new PartClears(PART, 3)));
 
+    private static final LimitReport LIMITS =
+            new LimitReport(
+                    ROUTER,
+                    List.of(
+                            new EndpointLimit(EndpointId.of("one"), Optional.of(4.1), 9),
+                            new EndpointLimit(EndpointId.of("two"), Optional.empty(), 9)),
+                    List.of(new BackEndDemand("seilhelfer", 7.5)));
+
     @ParameterizedTest
     @MethodSource("messagesToKeepers")
     void aMessageToAKeeperIsDecodedUnchanged(KeeperInput message) {
@@ -82,6 +93,7 @@
     static List<KeeperOutput> messagesToRouters() {
         return List.of(
                 new KeeperOutput.ReportRelayed(ROUTER, EVIDENCE),
+                new KeeperOutput.ReportRelayed(ROUTER, LIMITS),
                 new KeeperOutput.ReserveGranted(ROUTER, KEY, GRANT),
                 new KeeperOutput.ReserveRefused(ROUTER, KEY, ResultCode.BUDGET_EXHAUSTED),
                 new KeeperOutput.UsageHeld(ROUTER, KEY),
