Bound an endpoint's requests and tokens over all routers

Each router filled an endpoint to its whole slots and memory, so seven routers together to seven times that; and nothing told a router that an engine with free slots is overloaded. Evidence: answers on those engines took 4.5 to 6.5 s (1.6 s before), while no router alone had more than a few requests there.

Change: a router's part of slots and memory is twice its equal share, as load is uneven; an idle endpoint takes any request that fits.

--- a/bench/src/main/java/org/bramleylatch/bench/PlacementSimulation.java
+++ b/bench/src/main/java/org/bramleylatch/bench/PlacementSimulation.java
@@ -134,7 +134,7 @@
         List<EndpointRow> candidates = new ArrayList<>();
         for (int engine = 0; engine < ENGINES; engine++) {
             Optional.of(endpoints.get(endpointId(engine)))
-                    .filter(row -> row.hasCapacityFor(neededTokens))
+                    .filter(row -> row.hasCapacityFor(neededTokens, 1))
                     .ifPresent(candidates::add);
         }
         Optional<EndpointRow> chosen = placement.choose(queued.spec, ZONE, candidates);
--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -34,6 +34,9 @@
                             "tokens missing before position " + arrived.position()));
         }
         world.attempts().put(row.id(), row.tokensReceived(arrived.tokens(), nowMillis));
+        if (row.firstTokenLatencyMillis().isEmpty()) {
+            recordStart(row);
+        }
         if (row.unprocessedPromptTokens() > 0) {
             world.endpoints()
                     .update(
@@ -83,6 +86,7 @@
             return drop(answered.attempt(), "answer of an unknown attempt");
         }
         countForMove(attempt.get(), answered.status() < FIRST_SERVER_ERROR_STATUS);
+        recordStart(attempt.get());
         world.endpoints()
                 .update(
                         attempt.get().endpoint(),
@@ -109,6 +113,9 @@
         world.send(new RouterOutput.CancelAttempt(failed.attempt()));
         EndpointId endpoint = attempt.get().endpoint();
         countForMove(attempt.get(), false);
+        if (isSignOfOverload(attempt.get(), failed)) {
+            world.endpoints().update(attempt.get().endpoint(), row -> row.overloaded(nowMillis));
+        }
         new CrashDetection(world, nowMillis).recordBrokenAttempt(attempt.get(), failed);
         world.endpoints()
                 .update(
@@ -146,6 +153,25 @@
         return row.isPresent();
     }
 
+    /** Returns true if the endpoint was silent until the timeout or did not run the request. */
+    private static boolean isSignOfOverload(AttemptRow attempt, AttemptFailed failed) {
+        return failed.cause() == AttemptFailed.Cause.OTHER
+                && attempt.firstTokenLatencyMillis().isEmpty()
+                && failed.runState() != RunState.RAN;
+    }
+
+    /** Raises the endpoint's concurrency limit if the attempt started to answer in time. */
+    private void recordStart(AttemptRow attempt) {
+        long targetMillis =
+                world.requests()
+                        .find(attempt.request())
+                        .map(row -> row.spec().route().options().targetLatencyMillis())
+                        .orElse(0L);
+        if (nowMillis - attempt.startedMillis() <= targetMillis) {
+            world.endpoints().update(attempt.endpoint(), EndpointRow::answeredInTime);
+        }
+    }
+
     private boolean canRetry(AttemptId attempt) {
         return world.attempts()
                 .find(attempt)
--- a/core/src/main/java/org/bramleylatch/core/EndpointRow.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -8,6 +8,7 @@
  * @param leavingSignals the signals that the endpoint is leaving
  * @param load the tokens that the endpoint holds, estimated, and this router's requests there
  * @param health the recent failures, which may eject the endpoint
+ * @param concurrency the most concurrent requests of this router, by their success
  */
 public record EndpointRow(
         EndpointId id,
@@ -18,7 +19,10 @@
         int slots,
         LeavingSignals leavingSignals,
         EndpointLoad load,
-        EndpointHealth health) {
+        EndpointHealth health,
+        ConcurrencyLimit concurrency) {
+    private static final int OVERCOMMIT = 2;
+    private static final int MIN_SLOTS = 4;
 
     /** Returns a healthy endpoint without load and without a maximum of concurrent requests. */
     public static EndpointRow of(
@@ -32,13 +36,24 @@
                 0,
                 LeavingSignals.none(),
                 EndpointLoad.none(),
-                EndpointHealth.healthy());
+                EndpointHealth.healthy(),
+                ConcurrencyLimit.unlimited());
     }
 
-    /** Returns true if the endpoint has memory for the given tokens and a free slot. */
-    public boolean hasCapacityFor(long tokens) {
-        boolean hasMemory = memoryTokens == 0 || load.estimatedTokens() + tokens <= memoryTokens;
-        return hasMemory && (slots == 0 || load.outstanding() < slots);
+    /**
+     * Returns true if this router's part of the endpoint has memory for the given tokens and a free
+     * slot. The parts of all routers add up to twice the whole, as their load is uneven.
+     *
+     * @param routers the number of routers that share the endpoint, at least 1
+     */
+    public boolean hasCapacityFor(long tokens, int routers) {
+        long memoryPart = Math.min(memoryTokens, OVERCOMMIT * memoryTokens / routers);
+        boolean isIdle = load.outstanding() == 0 && tokens <= memoryTokens;
+        boolean hasMemory =
+                memoryTokens == 0 || isIdle || load.estimatedTokens() + tokens <= memoryPart;
+        int slotsPart = Math.min(slots, Math.max(MIN_SLOTS, OVERCOMMIT * slots / routers));
+        boolean hasSlot = load.outstanding() < slotsPart && concurrency.allows(load.outstanding());
+        return hasMemory && (slots == 0 || hasSlot);
     }
 
     /** Returns true if the endpoint is not leaving and its health allows another request. */
@@ -100,7 +115,32 @@
                 maxRequests,
                 leavingSignals,
                 load,
-                health);
+                health,
+                concurrency);
+    }
+
+    /** Returns the endpoint after it started to answer an attempt within its latency objective. */
+    EndpointRow answeredInTime() {
+        return withConcurrency(concurrency.answeredInTime(load.outstanding()));
+    }
+
+    /** Returns the endpoint after it was silent until a timeout, or full. */
+    EndpointRow overloaded(long nowMillis) {
+        return withConcurrency(concurrency.overloaded(load.outstanding(), nowMillis));
+    }
+
+    private EndpointRow withConcurrency(ConcurrencyLimit newLimit) {
+        return new EndpointRow(
+                id,
+                backEnd,
+                zone,
+                version,
+                memoryTokens,
+                slots,
+                leavingSignals,
+                load,
+                health,
+                newLimit);
     }
 
     /** Returns the endpoint after it reported the tokens that it holds for all routers. */
@@ -114,14 +154,25 @@
      */
     public EndpointRow withListing(EndpointRow listing) {
         return listing.with(
-                leavingSignals.withListedAsLeaving(listing.leavingSignals.listedAsLeaving()),
-                load,
-                health);
+                        leavingSignals.withListedAsLeaving(
+                                listing.leavingSignals.listedAsLeaving()),
+                        load,
+                        health)
+                .withConcurrency(concurrency);
     }
 
     private EndpointRow with(
             LeavingSignals latest, EndpointLoad newLoad, EndpointHealth newHealth) {
         return new EndpointRow(
-                id, backEnd, zone, version, memoryTokens, slots, latest, newLoad, newHealth);
+                id,
+                backEnd,
+                zone,
+                version,
+                memoryTokens,
+                slots,
+                latest,
+                newLoad,
+                newHealth,
+                concurrency);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -42,7 +42,7 @@
         long worstCaseTokens = row.spec().worstCaseTokens();
         List<EndpointRow> withCapacity =
                 accepting.stream()
-                        .filter(e -> e.hasCapacityFor(worstCaseTokens))
+                        .filter(e -> e.hasCapacityFor(worstCaseTokens, world.routerCount()))
                         .toList();
         List<EndpointRow> withPermit =
                 withCapacity.stream().filter(e -> rateLimits.allows(e.id())).toList();
