Carry out the operator's roll-out orders as planned moves

Cause: nothing read the order, and no version was told apart, so a new version got its part of all requests as soon as its endpoints registered. The planned moves of core do what is needed, but nothing on the platform began one.

Change: an order becomes a planned move of the back end, named after the order, so that of all routers' proposals the log takes the first, also after a restart or the move's end. Until the log has it the target gets nothing; while it runs, 40 and then 80 thousandths of the requests, less than a bad version may get, until four seconds before its deadline, as some versions become bad late. The fold sums all routers' attempts, so few requests a VM suffice, and nobody is in charge.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -70,6 +70,10 @@
     ENDPOINT_LEAVING,
     /** A router stopped a new endpoint version on the evidence of its own attempts. */
     VERSION_STOPPED,
+    /** An operator ordered that a back end moves to another version. */
+    ROLLOUT_ORDERED,
+    /** The operator is told how an order stands. */
+    ROLLOUT_REPORTED,
     /** A planned move began, entered a stage, or ended. */
     MOVE_ADVANCED,
     ADMIN_CALLED
--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -56,6 +56,7 @@
                     .on(IntentEnded.class, this::finishIntent)
                     .on(MoveReported.class, this::appendMoveReport)
                     .on(KeeperInput.RouterReported.class, this::relayReport)
+                    .on(KeeperInput.MoveOrdered.class, this::appendOrder)
                     .on(RouterConnected.class, this::addRouter)
                     .on(RouterDisconnected.class, this::removeRouter)
                     .on(AttemptUsageReported.class, this::settleOrphan)
@@ -273,6 +274,14 @@
             return true;
         }
 
+        private boolean appendOrder(KeeperInput.MoveOrdered ordered) {
+            boolean isUnknown = !world.ledger().moves().has(ordered.spec().route());
+            if (isUnknown && world.isCaughtUp()) {
+                world.append(new LedgerRecord.MoveOrdered(ordered.spec()));
+            }
+            return isUnknown;
+        }
+
         private boolean relayReport(KeeperInput.RouterReported reported) {
             RouterReport report = reported.report();
             world.routerReports().put(report.subject(), report);
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -43,6 +43,9 @@
     /** Reports what a router observed during a planned move. */
     record MoveReported(LedgerRecord.MoveObserved report) implements KeeperInput {}
 
+    /** Asks to begin a move that an operator ordered, unless the log has a move of that name. */
+    record MoveOrdered(MoveSpec spec) implements KeeperInput {}
+
     /** Carries what a router tells all others; the keeper passes it on to them. */
     record RouterReported(RouterReport report) implements KeeperInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -53,6 +53,7 @@
                         .on(IntentDeclared.class, this::declareIntent)
                         .on(IntentFinished.class, this::finishIntent)
                         .on(MoveBegun.class, record -> moves.begin(record, offset))
+                        .on(LedgerRecord.MoveOrdered.class, record -> moves.order(record, offset))
                         .on(MoveObserved.class, record -> moves.observe(record, offset))
                         .on(MoveExpired.class, record -> moves.expire(record, offset))
                         .on(MoveTakenBack.class, record -> moves.takeBack(record, offset))
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -119,6 +119,12 @@
     /** Begins a planned move of a route to another version. */
     record MoveBegun(MoveSpec spec) implements LedgerRecord {}
 
+    /**
+     * Begins a planned move that an operator ordered. Of several records with the same name only
+     * the first counts, also after the move has ended.
+     */
+    record MoveOrdered(MoveSpec spec) implements LedgerRecord {}
+
     /**
      * Reports the attempts that one router made since its last report.
      *
--- a/core/src/main/java/org/bramleylatch/core/MoveReportSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/MoveReportSystem.java
@@ -36,13 +36,12 @@
             EndpointId endpoint,
             boolean succeeded,
             Optional<Long> firstTokenMillis) {
-        RouteName route = request.spec().route().name();
-        Optional<RouterMoveRow> before = world.moves().find(route);
+        Optional<RouterMoveRow> before = world.moveOf(request.spec());
         Optional<Version> version = world.endpoints().find(endpoint).map(EndpointRow::version);
         if (before.isPresent() && version.isPresent()) {
             RouterMoveRow after =
                     before.get().withAttempt(version.get(), succeeded, firstTokenMillis);
-            world.moves().put(route, after);
+            world.moves().put(after.move().spec().route(), after);
             recordVersionStop(world, before.get(), after);
         }
     }
@@ -52,15 +51,13 @@
      * since no endpoint of the new one accepts it.
      */
     static void countFallbackToOldVersion(RouterWorld world, RequestRow request) {
-        RouteName route = request.spec().route().name();
-        world.moves()
-                .find(route)
+        world.moveOf(request.spec())
                 .ifPresent(
                         before -> {
                             Version newVersion = before.move().spec().to();
                             RouterMoveRow after =
                                     before.withAttempt(newVersion, false, Optional.empty());
-                            world.moves().put(route, after);
+                            world.moves().put(after.move().spec().route(), after);
                             recordVersionStop(world, before, after);
                         });
     }
--- a/core/src/main/java/org/bramleylatch/core/MoveRow.java
+++ b/core/src/main/java/org/bramleylatch/core/MoveRow.java
@@ -61,9 +61,11 @@
      * Adds the attempts of one report. The move is taken back if the test now finds the new version
      * bad; otherwise it advances once the stage has enough good attempts at the new version.
      *
+     * @param mayFinish false if the last stage must go on although it has enough good attempts
      * @param offset the offset of the report in the log
      */
-    public MoveRow withReport(Tally reportedOld, Tally reportedNew, long offset) {
+    public MoveRow withReport(
+            Tally reportedOld, Tally reportedNew, boolean mayFinish, long offset) {
         Tally allOld = old.plus(reportedOld);
         MoveRow after =
                 new MoveRow(
@@ -78,7 +80,11 @@
         if (after.test.isBad()) {
             return after.ended(State.TAKEN_BACK, offset, "bad share " + after.fresh.badShare());
         }
-        return after.fresh.good() >= spec.goodPerStage() ? after.advanced(offset) : after;
+        boolean isLastStage = stage + 1 == spec.stagesPermille().size();
+        boolean mayAdvance = mayFinish || !isLastStage;
+        return mayAdvance && after.fresh.good() >= spec.goodPerStage()
+                ? after.advanced(offset)
+                : after;
     }
 
     /** Ends the move in the given state at the given offset of the log. */
--- a/core/src/main/java/org/bramleylatch/core/MoveRules.java
+++ b/core/src/main/java/org/bramleylatch/core/MoveRules.java
@@ -12,6 +12,9 @@
  * coordinate a move.
  */
 record MoveRules(Ledger ledger) {
+    /** Leaves time to end the answers of the old version and to tell the operator. */
+    private static final long FINISH_MILLIS = 4_000;
+
     private static final Optional<ResultCode> ACCEPTED = Optional.empty();
 
     Optional<ResultCode> begin(MoveBegun record, long offset) {
@@ -26,6 +29,15 @@
         return ACCEPTED;
     }
 
+    Optional<ResultCode> order(LedgerRecord.MoveOrdered record, long offset) {
+        RouteName route = record.spec().route();
+        if (ledger.moves().has(route)) {
+            return Optional.of(ResultCode.MOVE_RUNNING);
+        }
+        ledger.moves().put(route, MoveRow.of(record.spec(), offset));
+        return ACCEPTED;
+    }
+
     Optional<ResultCode> observe(MoveObserved record, long offset) {
         Optional<MoveRow> move = findRunning(record.route(), record.to());
         if (move.isEmpty()) {
@@ -36,7 +48,10 @@
         }
         Tally newAttempts =
                 move.get().stage() == record.stage() ? record.newAttempts() : withoutGood(record);
-        MoveRow after = move.get().withReport(record.oldAttempts(), newAttempts, offset);
+        MoveRow after =
+                move.get()
+                        .withReport(
+                                record.oldAttempts(), newAttempts, mayFinish(move.get()), offset);
         ledger.moves()
                 .put(
                         record.route(),
@@ -67,6 +82,15 @@
         return ACCEPTED;
     }
 
+    /**
+     * Returns true once a move that an operator ordered may end its last stage. It tests the new
+     * version until shortly before its deadline, as some versions become bad late.
+     */
+    private boolean mayFinish(MoveRow move) {
+        return !move.spec().route().isOrdered()
+                || ledger.logMillis() >= move.spec().deadlineMillis() - FINISH_MILLIS;
+    }
+
     private boolean isPastDeadline(MoveRow move) {
         return ledger.logMillis() >= move.spec().deadlineMillis();
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -72,6 +72,9 @@
                 .on(UsageDurable.class, usage -> Settlements.close(world, usage.key()));
         handlers.on(RouterInput.EndpointProbed.class, crashes::applyProbe)
                 .on(RouterInput.ReportReceived.class, received -> reports.apply(received.report()))
+                .on(
+                        RouterInput.RolloutOrdered.class,
+                        ordered -> RolloutSystem.apply(world, ordered.order(), nowMillis))
                 .on(RouterInput.RateLimitObserved.class, rateLimits::applyObservation);
         handlers.on(ConfigurationReceived.class, fleet::applyConfiguration)
                 .on(EndpointsListed.class, fleet::applyListing)
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -146,6 +146,9 @@
     record RateLimitObserved(EndpointId endpoint, Optional<Double> requestsPerSecond)
             implements RouterInput {}
 
+    /** Carries an operator's order; one that is older than a known one is ignored. */
+    record RolloutOrdered(RolloutOrder order) implements RouterInput {}
+
     /** Carries what a router told all others. */
     record ReportReceived(RouterReport report) implements RouterInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterOutput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterOutput.java
@@ -53,6 +53,9 @@
     /** Opens a connection to an endpoint and closes it again; no request is sent. */
     record ProbeEndpoint(EndpointId endpoint) implements RouterOutput {}
 
+    /** Tells the operator how an order stands. */
+    record ReportRollout(RolloutOrder order, MoveRow.State state) implements RouterOutput {}
+
     /** Stores what this router tells all others, so that it outlasts the processes. */
     record StoreReport(RouterReport report) implements RouterOutput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -17,6 +17,7 @@
                 new RouterTimerSystem(limits),
                 new QuarantineSystem(),
                 new RateLimitSystem(),
+                new RolloutSystem(),
                 new PlacementSystem(placement, limits),
                 new SettlementSystem(),
                 new MoveReportSystem(limits),
--- a/core/src/main/java/org/bramleylatch/core/RouterTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -21,6 +21,9 @@
     /** Wakes the router to report the attempts during moves. */
     record MoveReport() implements RouterTimer {}
 
+    /** Proposes a roll-out's move again, or reports its end. */
+    record RolloutCheck(String backEnd) implements RouterTimer {}
+
     /** Places waiting requests once endpoints with a limit may take them. */
     record PermitCheck() implements RouterTimer {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -32,6 +32,7 @@
                         .on(MoveReport.class, due -> true)
                         .on(RouterTimer.EvidenceExpiry.class, due -> true)
                         .on(RouterTimer.PermitCheck.class, due -> true)
+                        .on(RouterTimer.RolloutCheck.class, due -> true)
                         .on(
                                 UsageHoldTimeout.class,
                                 due -> Settlements.finishAnswer(world, due.key()));
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Holds the tables of one router, such as its requests, attempts and endpoints. */
@@ -22,6 +23,7 @@
     private final Table<RouteName, RouterMoveRow> moves = Table.empty();
     private final Table<RequestId, List<Incarnation>> remainingLenders = Table.empty();
     private final Table<GrantKey, Long> lenderBackoffUntilMillis = Table.empty();
+    private final Table<String, RolloutRow> rollouts = Table.empty();
     private final Table<EndpointId, RateLimitRow> rateLimits = Table.empty();
     private final Table<EndpointId, EndpointLimit> ownLimits = Table.empty();
     private final Table<DemandSource, Double> demands = Table.empty();
@@ -117,6 +119,20 @@
         return moves;
     }
 
+    /** Returns the latest order of the operator for each back end. */
+    Table<String, RolloutRow> rollouts() {
+        return rollouts;
+    }
+
+    /** Returns the latest move of the request's route, or else of its back end. */
+    Optional<RouterMoveRow> moveOf(RequestSpec spec) {
+        return moves.find(spec.route().name())
+                .or(
+                        () ->
+                                rollouts.find(spec.backEnd())
+                                        .flatMap(row -> moves.find(row.order().moveName())));
+    }
+
     /** Returns true once a planned stop has begun. */
     public boolean isStopping() {
         return stopping;
@@ -286,10 +302,10 @@
             return row.latestEndpoint().flatMap(endpoints::find).stream().toList();
         }
         List<EndpointRow> others =
-                acceptingEndpoints(row, requiredVersion(row), row.failedEndpoints(), nowMillis);
+                acceptingEndpoints(row, versionFilter(row), row.failedEndpoints(), nowMillis);
         boolean mayRepeat = row.runState() == RunState.RAN && row.spec().route().repeatable();
         return others.isEmpty() && mayRepeat
-                ? acceptingEndpoints(row, requiredVersion(row), Set.of(), nowMillis)
+                ? acceptingEndpoints(row, versionFilter(row), Set.of(), nowMillis)
                 : others;
     }
 
@@ -298,20 +314,20 @@
      * empty unless a move of its route is running and no token has been delivered.
      */
     List<EndpointRow> oldVersionCandidates(RequestRow row, long nowMillis) {
-        return moves.find(row.spec().route().name())
+        return moveOf(row.spec())
                 .filter(moveRow -> moveRow.move().isRunning() && row.deliveredTokens() == 0)
                 .map(
                         moveRow ->
                                 acceptingEndpoints(
                                         row,
-                                        Optional.of(moveRow.move().spec().from()),
+                                        isOldVersion(moveRow.move().spec()),
                                         row.failedEndpoints(),
                                         nowMillis))
                 .orElse(List.of());
     }
 
     private List<EndpointRow> acceptingEndpoints(
-            RequestRow row, Optional<Version> version, Set<EndpointId> excluded, long nowMillis) {
+            RequestRow row, Predicate<Version> version, Set<EndpointId> excluded, long nowMillis) {
         List<EndpointRow> accepting =
                 new ArrayList<>(
                         endpoints.where(
@@ -319,27 +335,37 @@
                                         endpoint.backEnd().equals(row.spec().backEnd())
                                                 && endpoint.acceptsWork(nowMillis)
                                                 && !excluded.contains(endpoint.id())
-                                                && version.filter(
-                                                                wanted ->
-                                                                        !wanted.equals(
-                                                                                endpoint.version()))
-                                                        .isEmpty()));
+                                                && version.test(endpoint.version())));
         accepting.sort(Comparator.comparing(EndpointRow::id));
         return accepting;
     }
 
     /**
-     * Returns the version that may serve the request; empty if any may. During a move, retries go
-     * to the old version.
+     * Returns which versions may serve the request. During a move, retries go to the old version;
+     * until an order's move has begun, its target gets nothing.
      */
-    private Optional<Version> requiredVersion(RequestRow row) {
-        Optional<RouterMoveRow> moveRow = moves.find(row.spec().route().name());
+    private Predicate<Version> versionFilter(RequestRow row) {
+        Optional<RouterMoveRow> moveRow = moveOf(row.spec());
         if (moveRow.isEmpty()) {
-            return row.spec().version();
+            Optional<Version> unproved =
+                    rollouts.find(row.spec().backEnd()).map(order -> order.order().target());
+            Optional<Version> chosen = row.spec().version();
+            return version ->
+                    unproved.filter(version::equals).isEmpty()
+                            && chosen.filter(wanted -> !wanted.equals(version)).isEmpty();
         }
+        MoveSpec spec = moveRow.get().move().spec();
         boolean isRetry = row.attemptCount() > 0 && moveRow.get().move().isRunning();
-        return moveRow.map(
-                found -> isRetry ? found.move().spec().from() : found.versionFor(row.spec().key()));
+        boolean goesToNew =
+                !isRetry && moveRow.get().versionFor(row.spec().key()).equals(spec.to());
+        return goesToNew ? spec.to()::equals : isOldVersion(spec);
+    }
+
+    /** An order names only its target, so that every other version is an old one. */
+    private static Predicate<Version> isOldVersion(MoveSpec spec) {
+        return spec.route().isOrdered()
+                ? version -> !version.equals(spec.to())
+                : spec.from()::equals;
     }
 
     void send(RouterOutput message) {
--- a/core/src/test/java/org/bramleylatch/core/MoveRulesTest.java
+++ b/core/src/test/java/org/bramleylatch/core/MoveRulesTest.java
@@ -17,6 +17,14 @@
     private static final Version NEW = Version.of("v2");
     private static final long DEADLINE_MILLIS = 10_000;
     private static final Tally NONE = Tally.empty();
+    private static final MoveSpec ORDERED =
+            new MoveSpec(
+                    RouteName.ofOrder("seilhelfer", 7),
+                    OLD,
+                    NEW,
+                    DEADLINE_MILLIS,
+                    List.of(40, 80),
+                    15);
 
     private final Ledger ledger = Ledger.empty();
     private final LedgerFold fold = LedgerFold.of(ledger);
@@ -111,6 +119,31 @@
         assertThat(RouterMoveRow.of(move()).withMove(early).move()).isEqualTo(move());
     }
 
+    @Test
+    void anOrderBeginsItsMoveOnceHoweverManyRoutersProposeItAndAlsoAfterItsEnd() {
+        assertThat(write(new LedgerRecord.MoveOrdered(ORDERED))).isEmpty();
+        assertThat(write(new LedgerRecord.MoveOrdered(ORDERED))).contains(ResultCode.MOVE_RUNNING);
+        write(new MoveTakenBack(ORDERED.route(), "operator"));
+        assertThat(write(new LedgerRecord.MoveOrdered(ORDERED))).contains(ResultCode.MOVE_RUNNING);
+        assertThat(orderedMove().state()).isEqualTo(MoveRow.State.TAKEN_BACK);
+    }
+
+    @Test
+    void anOrderedMoveTestsTheNewVersionUntilShortlyBeforeItsDeadline() {
+        write(new LedgerRecord.MoveOrdered(ORDERED));
+        write(new MoveObserved(ORDERED.route(), NEW, 0, NONE, new Tally(20, 0), false));
+        assertThat(orderedMove().stage()).isEqualTo(1);
+        write(new MoveObserved(ORDERED.route(), NEW, 1, NONE, new Tally(20, 0), false));
+        assertThat(orderedMove().isRunning()).isTrue();
+        nowMillis = DEADLINE_MILLIS - 3_900;
+        write(new MoveObserved(ORDERED.route(), NEW, 1, NONE, new Tally(1, 0), false));
+        assertThat(orderedMove().state()).isEqualTo(MoveRow.State.DONE);
+    }
+
+    private MoveRow orderedMove() {
+        return ledger.moves().find(ORDERED.route()).orElseThrow();
+    }
+
     private static RequestKey keyWithinFirstStage(RouterMoveRow routerMove) {
         return LongStream.range(0, 10_000)
                 .mapToObj(number -> RequestKey.of(0, number))
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -36,6 +36,7 @@
     private final Map<String, List<RouterOutput>> outputs = new TreeMap<>();
     private final Map<String, RouterReport> storedReports = new TreeMap<>();
     private final List<EndpointRow> endpoints = new ArrayList<>();
+    private final List<MoveSpec> proposedMoves = new ArrayList<>();
     private final List<EndpointId> crashedEndpoints = new ArrayList<>();
     private boolean connected = true;
     private long nowMillis = 1_700_000_000_000L;
@@ -120,6 +121,23 @@
                 .toList();
     }
 
+    /** Removes and returns the moves that the router asked its keeper to begin. */
+    List<MoveSpec> proposedMoves() {
+        List<MoveSpec> proposed = List.copyOf(proposedMoves);
+        proposedMoves.clear();
+        return proposed;
+    }
+
+    /** Returns the states of orders that the router reported to the operator. */
+    List<MoveRow.State> reportedRollouts(String vm) {
+        return outputs.get(vm).stream()
+                .filter(RouterOutput.ReportRollout.class::isInstance)
+                .map(RouterOutput.ReportRollout.class::cast)
+                .map(RouterOutput.ReportRollout::state)
+                .filter(state -> state != MoveRow.State.RUNNING)
+                .toList();
+    }
+
     /** Begins the answers of all running requests: crashes the endpoint, or completes them. */
     void answerAll() {
         routers.keySet().forEach(this::crashEndpoints);
@@ -272,9 +290,15 @@
                                     storedReports.put(stored.report().subject(), stored.report()));
             take(vm, RouterOutput.ToKeeper.class).stream()
                     .map(RouterOutput.ToKeeper::message)
-                    .filter(KeeperInput.RouterReported.class::isInstance)
-                    .map(KeeperInput.RouterReported.class::cast)
-                    .forEach(reported -> relay(vm, reported.report()));
+                    .forEach(message -> handle(vm, message));
+        }
+    }
+
+    private void handle(String vm, KeeperInput message) {
+        if (message instanceof KeeperInput.RouterReported reported) {
+            relay(vm, reported.report());
+        } else if (message instanceof KeeperInput.MoveOrdered ordered) {
+            proposedMoves.add(ordered.spec());
         }
     }
 
@@ -291,7 +315,8 @@
     }
 
     private static EndpointRow endpoint(String name) {
-        return EndpointRow.of(EndpointId.of(name), "seilhelfer", ZONE, Version.of("v1"), 100_000);
+        return EndpointRow.of(
+                EndpointId.of(name), "seilhelfer", ZONE, Version.of("v1"), 100_000_000);
     }
 
     private static Incarnation keeper(String vm) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
@@ -1,13 +1,16 @@
 package org.bramleylatch.gateway;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
+import org.bramleylatch.core.RolloutOrder;
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.platform.KeyedChange;
 import org.bramleylatch.platform.KeyedPage;
 import org.bramleylatch.platform.OperatorConfig;
+import org.bramleylatch.platform.RolloutOrders;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,6 +48,9 @@
         page.changes().stream()
                 .filter(change -> change.key().equals(OperatorConfig.STREAM_KEY))
                 .forEach(this::readChange);
+        page.changes().stream()
+                .filter(change -> RolloutOrders.isOrder(change.key()))
+                .forEach(this::readOrder);
     }
 
     /** Logs that the stream can't be read; the newest configuration stays in use. */
@@ -58,6 +64,14 @@
         }
     }
 
+    private void readOrder(KeyedChange change) {
+        Optional<RolloutOrder> order = RolloutOrders.parse(change);
+        order.map(RouterInput.RolloutOrdered::new).ifPresent(routerInbox);
+        if (order.isEmpty() && change.value().isPresent()) {
+            LOG.warn("ignored an invalid order {}: {}", change.key(), change.value().get());
+        }
+    }
+
     private void readChange(KeyedChange change) {
         try {
             change.value().map(OperatorConfig::parse).ifPresent(this::applyIfNewer);
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -94,6 +94,7 @@
     private final KeeperConnections keeperConnections;
     private final PeerDirectory peerDirectory;
     private final ReportStore reportStore;
+    private final LatestValueWriter<RouterOutput.ReportRollout> rolloutWriter;
     private final MessageHandlers<RouterOutput> routerHandlers;
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
@@ -134,6 +135,10 @@
                 new KeeperConnections(vertx, router, hybridClock, routerLoop::offer);
         this.peerDirectory = peerDirectory();
         this.reportStore = new ReportStore(vertx, store, routerLoop::offer);
+        this.rolloutWriter =
+                new LatestValueWriter<>(
+                        vertx,
+                        (key, report) -> store.putRolloutState(report.order(), report.state()));
         this.routerHandlers = routerHandlers();
         this.keeperHandlers = keeperHandlers();
     }
@@ -383,6 +388,10 @@
                 .on(RouterOutput.CancelAttempt.class, endpointClient::cancelAttempt)
                 .on(RouterOutput.PauseAttempt.class, endpointClient::setPaused)
                 .on(RouterOutput.ProbeEndpoint.class, endpointClient::probeEndpoint)
+                .on(
+                        RouterOutput.ReportRollout.class,
+                        report ->
+                                rolloutWriter.put("status of " + report.order().backEnd(), report))
                 .on(RouterOutput.StoreReport.class, stored -> reportStore.put(stored.report()))
                 .on(RouterOutput.Note.class, note -> recordEvent(note.event()))
                 .on(RouterOutput.Stopped.class, done -> routerStopped.complete(null))
