End an answer whose bytes never end

A body without an end was held in memory until the request's deadline (EndlessAnswerTest: 80 MB were taken without the connection being closed, and a body that ended then reached the caller as complete), and an event without an end was searched from its beginning for each piece.

Cause: no bound on what an incomplete answer may hold. Change: an answer that is not streamed may have 1 MiB, all of them together 12 MiB, an event 64 KiB; beyond that the attempt fails, its connection is closed and the log says so.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.gateway;
 
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import java.nio.charset.StandardCharsets;
@@ -15,15 +16,20 @@
 
 /** Runs one attempt: sends the request to an endpoint and turns its answer into router messages. */
 final class EndpointCall {
+    /** Larger than any answer that is not streamed; such an answer is held until its end. */
+    private static final int MAX_WHOLE_BYTES = 1024 * 1024;
+
     private final AttemptId attempt;
     private final EndpointId endpoint;
     private final CallerExchange exchange;
     private final int tokensPerEvent;
     private final Consumer<RouterInput> inbox;
+    private final ByteBudget bufferBudget;
     private Optional<HttpClientRequest> request = Optional.empty();
     private Optional<HttpClientResponse> response = Optional.empty();
     private OptionalLong lastEventId;
     private long deliveredTokens;
+    private long bufferedBytes;
     private boolean finished;
 
     /**
@@ -32,6 +38,7 @@
      * @param deliveredTokens the number of tokens of the answer that the caller has received from
      *     earlier attempts
      * @param tokensPerEvent the number of tokens in each event of a streamed answer
+     * @param bufferBudget bounds what all calls hold of incomplete answers
      */
     EndpointCall(
             AttemptId attempt,
@@ -39,6 +46,7 @@
             CallerExchange exchange,
             long deliveredTokens,
             int tokensPerEvent,
+            ByteBudget bufferBudget,
             Consumer<RouterInput> inbox) {
         this.attempt = attempt;
         this.endpoint = endpoint;
@@ -46,6 +54,7 @@
         this.deliveredTokens = deliveredTokens;
         this.lastEventId = exchange.lastEventId();
         this.tokensPerEvent = tokensPerEvent;
+        this.bufferBudget = bufferBudget;
         this.inbox = inbox;
     }
 
@@ -79,7 +88,7 @@
 
     /** Cancels the call; the endpoint sees its connection close. */
     void cancel() {
-        finished = true;
+        finish();
         request.ifPresent(HttpClientRequest::reset);
     }
 
@@ -124,10 +133,16 @@
 
     private void readStream(HttpClientResponse answer, boolean endsWithConnection) {
         EventSplitter splitter = new EventSplitter(this::receiveEvent);
-        answer.handler(splitter::append);
+        answer.handler(bytes -> appendToStream(splitter, bytes));
         answer.endHandler(end -> endStream(splitter, endsWithConnection));
     }
 
+    private void appendToStream(EventSplitter splitter, Buffer bytes) {
+        if (!finished && !splitter.append(bytes)) {
+            fail(RunState.RAN, "event of over " + EventSplitter.MAX_EVENT_BYTES + " bytes");
+        }
+    }
+
     private void endStream(EventSplitter splitter, boolean endsWithConnection) {
         if (splitter.hasUnfinishedEvent()) {
             fail(
@@ -168,18 +183,29 @@
 
     private void readWhole(HttpClientResponse answer) {
         int status = answer.statusCode();
-        answer.body()
-                .onSuccess(
-                        body ->
-                                receiveWhole(
-                                        status,
-                                        new String(body.getBytes(), StandardCharsets.ISO_8859_1)))
-                .onFailure(failure -> loseConnection("answer interrupted: " + failure));
+        Buffer body = Buffer.buffer();
+        answer.handler(bytes -> appendToWhole(body, bytes));
+        answer.endHandler(end -> receiveWhole(status, body.toString(StandardCharsets.ISO_8859_1)));
+    }
+
+    private void appendToWhole(Buffer body, Buffer bytes) {
+        if (finished) {
+            return;
+        }
+        boolean fits =
+                body.length() + bytes.length() <= MAX_WHOLE_BYTES
+                        && bufferBudget.take(bytes.length());
+        if (fits) {
+            bufferedBytes += bytes.length();
+            body.appendBuffer(bytes);
+        } else {
+            fail(RunState.RAN, "answer of over " + body.length() + " bytes has no end");
+        }
     }
 
     private void receiveWhole(int status, String body) {
         if (!finished) {
-            finished = true;
+            finish();
             inbox.accept(new RouterInput.ServiceAnswered(attempt, status, body));
         }
     }
@@ -194,13 +220,19 @@
 
     private void fail(RunState runState, String detail, Cause cause) {
         if (!finished) {
-            finished = true;
+            finish();
             inbox.accept(
                     new RouterInput.AttemptFailed(
                             attempt, runState, endpoint + " " + detail, cause));
         }
     }
 
+    private void finish() {
+        finished = true;
+        bufferBudget.giveBack(bufferedBytes);
+        bufferedBytes = 0;
+    }
+
     private static void pauseOrResume(HttpClientResponse answer, boolean paused) {
         if (paused) {
             answer.pause();
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -36,6 +36,10 @@
 
     private static final int MAX_CONNECTIONS = 128;
     private static final int KEEP_ALIVE_SECONDS = 5;
+
+    /** An eighth of the heap on the smallest VMs. */
+    private static final long MAX_BUFFERED_BYTES = 12 * 1024 * 1024;
+
     private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
 
     private final InstantSource clock;
@@ -47,6 +51,7 @@
     private final HttpClient keepAliveClient;
     private final HttpClient singleUseClient;
     private final NetClient probeClient;
+    private final ByteBudget bufferBudget = new ByteBudget(MAX_BUFFERED_BYTES);
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
 
     /**
@@ -103,6 +108,7 @@
                         exchange.get(),
                         start.position(),
                         tokensPerEvent.applyAsInt(spec.get().backEnd()),
+                        bufferBudget,
                         message -> forward(start.attempt(), message));
         calls.put(start.attempt(), call);
         clientFor(spec.get())
