Keep the files of a failed process test, and pick ports that no client takes

Suspected: the port was free when it was picked, but lies in the range from which outgoing connections get theirs, and one took it before the keeper listened.

Change: ports come from below that range; a process that exits before it is ready fails the test at once with its exit code and the path of its log; the folder of a failed test is kept.

--- a/bench/src/main/java/org/bramleylatch/bench/Deployment.java
+++ b/bench/src/main/java/org/bramleylatch/bench/Deployment.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -203,12 +201,28 @@
         return processes.get(name);
     }
 
-    /** Waits until every given process reports that it is ready, up to 30 s each. */
+    /**
+     * Waits until every given process reports that it is ready, up to 30 s each.
+     *
+     * @throws IllegalStateException if one exits or is not ready in time
+     */
     public void awaitReady(String... names) {
         for (String name : names) {
-            Await.until(
-                    name + " is ready", READY_TIMEOUT_MILLIS, () -> client(name).isOk("/readyz"));
+            Await.until(name + " is ready", READY_TIMEOUT_MILLIS, () -> isReady(name));
+        }
+    }
+
+    private boolean isReady(String name) {
+        Process process = processes.get(name);
+        if (!process.isAlive()) {
+            throw new IllegalStateException(
+                    name
+                            + " exited with code "
+                            + process.exitValue()
+                            + " before it was ready, see "
+                            + folder.resolve(name + ".log"));
         }
+        return client(name).isOk("/readyz");
     }
 
     /** Publishes routes and a member, creates the member's budget and tops it up. */
@@ -306,6 +320,7 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
         command.addAll(arguments);
         try {
+            Files.createDirectories(folder);
             Path log = folder.resolve(name + ".log");
             processes.put(
                     name,
@@ -353,16 +368,10 @@
         return addresses.containsKey(name) ? addresses.get(name) : reserveAddress(name);
     }
 
-    /** Picks a free port; another process can still take it before ours listens. */
     private Address reserveAddress(String name) {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-            Files.createDirectories(folder);
-            Address address = new Address(LOOPBACK, socket.getLocalPort());
-            addresses.put(name, address);
-            return address;
-        } catch (IOException noFreePort) {
-            throw new UncheckedIOException(noFreePort);
-        }
+        Address address = new Address(LOOPBACK, FreePorts.pick(LOOPBACK));
+        addresses.put(name, address);
+        return address;
     }
 
     private static VmList.Vm vm(
--- a/proof/src/test/java/org/bramleylatch/proof/BadInputProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/BadInputProcessTest.java
@@ -14,6 +14,7 @@
 import org.bramleylatch.wire.Json;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -27,7 +28,8 @@
     private static final String CHAT_PATH = "/v1/chat/completions";
     private static final String BUDGET_PATH = "/admin/v1/budgets/" + Deployment.BUDGET;
 
-    @TempDir Path folder;
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+    Path folder;
 
     private Deployment deployment;
 
--- a/proof/src/test/java/org/bramleylatch/proof/MoveProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/MoveProcessTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -22,7 +23,8 @@
     private static final long HOUR_MILLIS = 3_600_000;
     private static final int MAX_CHATS = 400;
 
-    @TempDir Path folder;
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+    Path folder;
 
     private Deployment deployment;
 
--- a/proof/src/test/java/org/bramleylatch/proof/OpenApiProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/OpenApiProcessTest.java
@@ -9,6 +9,7 @@
 import org.bramleylatch.wire.Json;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -19,7 +20,8 @@
     private static final int NOT_SERVED = 404;
     private static final int WRONG_METHOD = 405;
 
-    @TempDir Path folder;
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+    Path folder;
 
     private Deployment deployment;
 
--- a/proof/src/test/java/org/bramleylatch/proof/ProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/ProcessTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -32,7 +33,8 @@
     private static final String BUDGET_PATH = "/admin/v1/budgets/" + Deployment.BUDGET;
     private static final String CHAT_PATH = "/v1/chat/completions";
 
-    @TempDir Path folder;
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+    Path folder;
 
     private Deployment deployment;
 
--- a/proof/src/test/java/org/bramleylatch/proof/RetentionProcessTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/RetentionProcessTest.java
@@ -11,6 +11,7 @@
 import org.bramleylatch.wire.Json;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -23,7 +24,8 @@
     private static final int CHAT_COUNT = 400;
     private static final String FREQUENT_SNAPSHOTS_SETTING = ",\"snapshotEveryRecords\":10";
 
-    @TempDir Path folder;
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+    Path folder;
 
     private Deployment deployment;
 
