Let begun streams resume and retrials be told apart in the quarantine

Found while reading the change: a stream that has begun proves that its prompt does not crash the endpoint, but its resumption was refused once a part of it was quarantined; and a request that came while a retrial was under way was told to come back after 0 s. Both are mended: aStreamThatHasBegunMayBeResumed... held the first; the wait is now a second at least.

--- a/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
@@ -13,6 +13,8 @@
  * are withdrawn from their endpoints, which may still save these.
  */
 final class QuarantineSystem implements TickSystem<RouterWorld> {
+    /** While a retrial is under way, its outcome is known in about this time. */
+    private static final long MIN_RETRY_MILLIS = 1_000;
 
     @Override
     public void run(RouterWorld world, long nowMillis) {
@@ -33,12 +35,15 @@
     /**
      * Returns the row that keeps the request from all endpoints; empty if it may be sent. Once the
      * retrial of a part is due, one router sends one request with it at a time, and each only once.
+     * A request whose answer has begun did not crash its endpoint and may be resumed.
      */
     static Optional<QuarantineRow> findBlocking(
             RouterWorld world, RequestRow request, long nowMillis) {
-        return world.crashTables()
-                .findQuarantined(request.spec().promptParts())
-                .filter(row -> !isRetrial(world, request, row, nowMillis));
+        return request.deliveredTokens() > 0
+                ? Optional.empty()
+                : world.crashTables()
+                        .findQuarantined(request.spec().promptParts())
+                        .filter(row -> !isRetrial(world, request, row, nowMillis));
     }
 
     /** Refuses a request and says when the part is tested next. */
@@ -50,7 +55,7 @@
                         ? ResultCode.PROMPT_QUARANTINED
                         : ResultCode.ENDPOINT_FAILED,
                 "prompt part " + cause.part().part() + " crashes endpoints",
-                Optional.of(Math.max(0, cause.retrialAtMillis() - nowMillis)));
+                Optional.of(Math.max(MIN_RETRY_MILLIS, cause.retrialAtMillis() - nowMillis)));
     }
 
     private static boolean isRetrial(
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -7,6 +7,7 @@
 import org.bramleylatch.core.RouterInput.CallerPaused;
 import org.bramleylatch.core.RouterInput.ConfigurationReceived;
 import org.bramleylatch.core.RouterInput.EndpointAnnounced;
+import org.bramleylatch.core.RouterInput.EndpointProbed;
 import org.bramleylatch.core.RouterInput.EndpointReplaced;
 import org.bramleylatch.core.RouterInput.EndpointReported;
 import org.bramleylatch.core.RouterInput.EndpointWithdrawn;
@@ -18,10 +19,13 @@
 import org.bramleylatch.core.RouterInput.KeeperUp;
 import org.bramleylatch.core.RouterInput.LocalKeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
+import org.bramleylatch.core.RouterInput.RateLimitObserved;
 import org.bramleylatch.core.RouterInput.RegistryReachabilityReported;
+import org.bramleylatch.core.RouterInput.ReportReceived;
 import org.bramleylatch.core.RouterInput.RequestArrived;
 import org.bramleylatch.core.RouterInput.ReserveGranted;
 import org.bramleylatch.core.RouterInput.ReserveRefused;
+import org.bramleylatch.core.RouterInput.RolloutOrdered;
 import org.bramleylatch.core.RouterInput.RoutersCounted;
 import org.bramleylatch.core.RouterInput.ServiceAnswered;
 import org.bramleylatch.core.RouterInput.StopAsked;
@@ -39,29 +43,29 @@
         if (world.inbox().isEmpty()) {
             return;
         }
-        Admission admission = new Admission(world, limits, nowMillis);
-        AnswerRelay answers = new AnswerRelay(world, limits, nowMillis);
-        FleetUpdates fleet = new FleetUpdates(world, limits, nowMillis);
-        RateLimits rateLimits = new RateLimits(world, nowMillis);
-        CrashDetection crashes = new CrashDetection(world, nowMillis);
-        Dispatch<RouterReport, Boolean> reports =
-                Dispatch.<RouterReport, Boolean>empty()
-                        .on(CrashEvidence.class, crashes::applyEvidence)
-                        .on(LimitReport.class, rateLimits::applyReport);
-        CallResolver callResolver = new CallResolver(world, admission);
-        RegistryUpdates registry = new RegistryUpdates(world, limits, nowMillis);
         Dispatch<RouterInput, Boolean> handlers = Dispatch.empty();
-        handlers.on(CallArrived.class, callResolver::resolve)
-                .on(EndpointAnnounced.class, registry::applyAnnouncement)
-                .on(EndpointWithdrawn.class, registry::applyWithdrawal)
-                .on(EndpointReplaced.class, replaced -> registry.remove(replaced.endpoint()))
-                .on(RegistryReachabilityReported.class, registry::applyReachability);
-        handlers.on(RequestArrived.class, admission::admit)
+        addRequestHandlers(handlers, world, nowMillis);
+        addAnswerHandlers(handlers, world, nowMillis);
+        addEndpointHandlers(handlers, world, nowMillis);
+        addFleetHandlers(handlers, world, nowMillis);
+        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(handlers::apply);
+    }
+
+    private void addRequestHandlers(
+            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
+        Admission admission = new Admission(world, limits, nowMillis);
+        handlers.on(CallArrived.class, new CallResolver(world, admission)::resolve)
+                .on(RequestArrived.class, admission::admit)
                 .on(ReserveGranted.class, admission::acceptGrant)
                 .on(ReserveRefused.class, admission::handleReserveRefusal)
                 .on(IntentWon.class, admission::queueClaimed)
                 .on(IntentLost.class, admission::answerLostClaim)
                 .on(IntentRefused.class, admission::refuseUnclaimed);
+    }
+
+    private void addAnswerHandlers(
+            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
+        AnswerRelay answers = new AnswerRelay(world, limits, nowMillis);
         handlers.on(TokensArrived.class, answers::deliverTokens)
                 .on(AnswerEnded.class, answers::endAnswer)
                 .on(ServiceAnswered.class, answers::deliverServiceAnswer)
@@ -70,12 +74,28 @@
                 .on(CallerDisconnected.class, answers::abandon)
                 .on(UsageHeld.class, usage -> Settlements.finishAnswer(world, usage.key()))
                 .on(UsageDurable.class, usage -> Settlements.close(world, usage.key()));
-        handlers.on(RouterInput.EndpointProbed.class, crashes::applyProbe)
-                .on(RouterInput.ReportReceived.class, received -> reports.apply(received.report()))
-                .on(
-                        RouterInput.RolloutOrdered.class,
-                        ordered -> RolloutSystem.apply(world, ordered.order(), nowMillis))
-                .on(RouterInput.RateLimitObserved.class, rateLimits::applyObservation);
+    }
+
+    private void addEndpointHandlers(
+            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
+        RegistryUpdates registry = new RegistryUpdates(world, limits, nowMillis);
+        handlers.on(EndpointAnnounced.class, registry::applyAnnouncement)
+                .on(EndpointWithdrawn.class, registry::applyWithdrawal)
+                .on(EndpointReplaced.class, replaced -> registry.remove(replaced.endpoint()))
+                .on(RegistryReachabilityReported.class, registry::applyReachability)
+                .on(EndpointProbed.class, new CrashDetection(world, nowMillis)::applyProbe)
+                .on(RateLimitObserved.class, new RateLimits(world, nowMillis)::applyObservation);
+    }
+
+    private void addFleetHandlers(
+            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
+        FleetUpdates fleet = new FleetUpdates(world, limits, nowMillis);
+        Dispatch<RouterReport, Boolean> reportHandlers =
+                Dispatch.<RouterReport, Boolean>empty()
+                        .on(
+                                CrashEvidence.class,
+                                new CrashDetection(world, nowMillis)::applyEvidence)
+                        .on(LimitReport.class, new RateLimits(world, nowMillis)::applyReport);
         handlers.on(ConfigurationReceived.class, fleet::applyConfiguration)
                 .on(EndpointsListed.class, fleet::applyListing)
                 .on(EndpointReported.class, fleet::applyReport)
@@ -84,7 +104,10 @@
                 .on(RoutersCounted.class, fleet::raiseRouterCount)
                 .on(KeeperDown.class, fleet::removeKeeper)
                 .on(MoveChanged.class, fleet::applyMove)
+                .on(ReportReceived.class, received -> reportHandlers.apply(received.report()))
+                .on(
+                        RolloutOrdered.class,
+                        ordered -> RolloutSystem.apply(world, ordered.order(), nowMillis))
                 .on(StopAsked.class, message -> fleet.beginStop());
-        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(handlers::apply);
     }
 }
--- a/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
@@ -119,6 +119,16 @@
         assertThat(fleet.vms()).allSatisfy(vm -> assertThat(quarantined(vm)).isEmpty());
     }
 
+    @Test
+    void aStreamThatHasBegunMayBeResumedAlthoughAPartOfItsPromptIsQuarantined() {
+        crashEndpoints();
+        RequestRow request = RequestRow.of(fleet.newSpec("system", RouterFleet.CRASHING));
+        RouterWorld world = fleet.world("vm-3");
+        assertThat(QuarantineSystem.findBlocking(world, request, 0)).isPresent();
+        RequestRow begun = request.tokensDelivered(1);
+        assertThat(QuarantineSystem.findBlocking(world, begun, 0)).isEmpty();
+    }
+
     @Test
     void evidenceExpiresSoThatARepairedModelGetsItsPromptsBack() {
         crashEndpoints();
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -85,23 +85,25 @@
 
     /** Lets a request with these shared parts arrive; returns its id. */
     RequestId arrive(String vm, String... parts) {
+        RequestSpec spec = newSpec(parts);
+        receive(vm, new RouterInput.RequestArrived(spec));
+        return spec.id();
+    }
+
+    /** Returns a new request with these shared parts. */
+    RequestSpec newSpec(String... parts) {
         count++;
-        RequestId id = RequestId.of("request-" + count);
-        receive(
-                vm,
-                new RouterInput.RequestArrived(
-                        new RequestSpec(
-                                id,
-                                RequestKey.of(nowMillis, count),
-                                true,
-                                BudgetId.NONE,
-                                CHAT,
-                                100,
-                                10,
-                                7,
-                                nowMillis + TIMEOUT_MILLIS,
-                                new RequestTraits(50, List.of(parts), 0, false))));
-        return id;
+        return new RequestSpec(
+                RequestId.of("request-" + count),
+                RequestKey.of(nowMillis, count),
+                true,
+                BudgetId.NONE,
+                CHAT,
+                100,
+                10,
+                7,
+                nowMillis + TIMEOUT_MILLIS,
+                new RequestTraits(50, List.of(parts), 0, false));
     }
 
     /** Lets an endpoint answer a router with a limit; empty for an answer without one. */
