--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -9,7 +9,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
@@ -38,17 +37,13 @@
 import org.bramleylatch.edge.KeeperConnections;
 import org.bramleylatch.edge.KeeperMessageTranslation;
 import org.bramleylatch.edge.LedgerStream;
-import org.bramleylatch.edge.LogFollower;
 import org.bramleylatch.edge.MonitoringHandlers;
 import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.edge.RandomIds;
-import org.bramleylatch.edge.ReadPace;
 import org.bramleylatch.edge.RequestMetrics;
 import org.bramleylatch.edge.RouterConnections;
 import org.bramleylatch.edge.TickLoop;
 import org.bramleylatch.platform.BootFile;
-import org.bramleylatch.platform.KeyedPage;
-import org.bramleylatch.platform.KeyedStream;
 import org.bramleylatch.platform.PlatformLimits;
 import org.bramleylatch.platform.StoreClient;
 import org.bramleylatch.wire.Address;
@@ -63,14 +58,9 @@
     /** The balancer checks readiness every second and removes a router after two failures. */
     private static final long BALANCER_REMOVAL_MILLIS = 2_500;
 
-    /** Long, as new peers are rare and no request depends on a keeper that is not known yet. */
-    private static final long PEERS_READ_WAIT_MILLIS = 10_000;
-
     /** The time at the end of the grace period that is reserved for the last appends to the log. */
     private static final long LAST_APPENDS_MILLIS = 700;
 
-    private static final Duration MAX_RETRY_PAUSE = Duration.ofMillis(400);
-
     private final Vertx vertx;
     private final Context context;
     private final MonotonicClock clock;
@@ -256,7 +246,16 @@
         routerLoop.offer(new RouterInput.LocalKeeperUp(keeper));
         keeperLoop.offer(new KeeperInput.ProcessStarted(clock.bootMillis(), clock.startMillis()));
         keeperLoop.offer(new KeeperInput.RouterConnected(router));
-        followStreams();
+        new StoreFollowers(
+                        store,
+                        settings,
+                        configurationReceiver,
+                        endpointRegistry,
+                        ledgerStream,
+                        peerDirectory,
+                        reportStore)
+                .follow();
+        peerDirectory.announce();
         Router monitoringRoutes = Router.router(vertx);
         MonitoringHandlers.mount(monitoringRoutes, metricsRegistry, this::isReady);
         Handler<HttpServerRequest> internalHandler =
@@ -297,33 +296,6 @@
         }
     }
 
-    private void followStreams() {
-        ReadPace changePace = new ReadPace(settings.storeWaitMillis(), () -> 0, MAX_RETRY_PAUSE);
-        ReadPace ledgerPace =
-                new ReadPace(
-                        settings.storeWaitMillis(), settings::ledgerPauseMillis, MAX_RETRY_PAUSE);
-        KeyedStream operatorStream = KeyedStream.operatorConfig(store);
-        KeyedStream endpointStream = KeyedStream.endpoints(store);
-        new LogFollower<KeyedPage>(operatorStream::read, changePace)
-                .follow(
-                        configurationReceiver::receivePage,
-                        code -> configurationReceiver.markUnreachable(code));
-        new LogFollower<KeyedPage>(endpointStream::read, changePace)
-                .follow(endpointRegistry::receivePage, code -> endpointRegistry.markUnreachable());
-        ledgerStream.follow(ledgerPace);
-        KeyedStream peerStream = KeyedStream.peers(store);
-        new LogFollower<KeyedPage>(
-                        peerStream::read,
-                        new ReadPace(PEERS_READ_WAIT_MILLIS, () -> 0, MAX_RETRY_PAUSE))
-                .follow(peerDirectory::receivePage, code -> {});
-        KeyedStream reportStream = KeyedStream.routerReports(store);
-        new LogFollower<KeyedPage>(
-                        reportStream::read,
-                        new ReadPace(PEERS_READ_WAIT_MILLIS, () -> 0, MAX_RETRY_PAUSE))
-                .follow(reportStore::receivePage, code -> {});
-        peerDirectory.announce();
-    }
-
     private boolean isReady() {
         return !draining
                 && routerLoop.world().configuration().isKnown()
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
@@ -0,0 +1,64 @@
+package org.bramleylatch.gateway;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.edge.LedgerStream;
+import org.bramleylatch.edge.LogFollower;
+import org.bramleylatch.edge.ReadPace;
+import org.bramleylatch.platform.KeyedPage;
+import org.bramleylatch.platform.KeyedStream;
+import org.bramleylatch.platform.StoreClient;
+
+/** Follows the streams of the store and passes their changes to those who use them. */
+record StoreFollowers(
+        StoreClient store,
+        GatewaySettings settings,
+        ConfigurationReceiver configurationReceiver,
+        EndpointRegistry endpointRegistry,
+        LedgerStream ledgerStream,
+        PeerDirectory peerDirectory,
+        ReportStore reportStore) {
+    /**
+     * Long, as new peers and reports are rare, and no request depends on a keeper that is not known
+     * yet.
+     */
+    private static final long RARE_CHANGES_WAIT_MILLIS = 10_000;
+
+    private static final Duration MAX_RETRY_PAUSE = Duration.ofMillis(400);
+
+    /** Starts to follow all streams. */
+    void follow() {
+        ReadPace changePace = pace(settings.storeWaitMillis(), 0);
+        ReadPace rareChangePace = pace(RARE_CHANGES_WAIT_MILLIS, 0);
+        follow(
+                KeyedStream.operatorConfig(store),
+                changePace,
+                configurationReceiver::receivePage,
+                configurationReceiver::markUnreachable);
+        follow(
+                KeyedStream.endpoints(store),
+                changePace,
+                endpointRegistry::receivePage,
+                code -> endpointRegistry.markUnreachable());
+        ledgerStream.follow(pace(settings.storeWaitMillis(), settings.ledgerPauseMillis()));
+        follow(KeyedStream.peers(store), rareChangePace, peerDirectory::receivePage, code -> {});
+        follow(
+                KeyedStream.routerReports(store),
+                rareChangePace,
+                reportStore::receivePage,
+                code -> {});
+    }
+
+    private static ReadPace pace(long waitMillis, long pauseMillis) {
+        return new ReadPace(waitMillis, () -> pauseMillis, MAX_RETRY_PAUSE);
+    }
+
+    private static void follow(
+            KeyedStream stream,
+            ReadPace pace,
+            Consumer<KeyedPage> onPage,
+            Consumer<ResultCode> onFailure) {
+        new LogFollower<KeyedPage>(stream::read, pace).follow(onPage, onFailure);
+    }
+}
