Refuse for limits only where every endpoint has one, and let later versions serve

And after a roll-out had succeeded, a version that replaced the target later without an order would have got no request. aRequestWaitsWhileAnEndpointWithoutALimitIsFull and aVersionThatReplacesTheTargetLaterWithoutAnOrderServes fail without the change.

--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -56,21 +56,19 @@
                                 placement.findCached(row.spec(), accepting)))
                 .ifPresentOrElse(
                         endpoint -> start(world, row, endpoint, nowMillis),
-                        () -> refuseIfLimited(world, row, withCapacity, rateLimits));
+                        () -> refuseIfLimited(world, row, accepting, rateLimits));
     }
 
     /**
-     * Refuses a request at once if only limits keep it from all endpoints and no permit comes in
-     * time. A stream that has begun keeps waiting, as nobody else can continue it.
+     * Refuses a request at once if all endpoints have limits and no permit comes in time. A stream
+     * that has begun keeps waiting, as nobody else can continue it.
      */
     private static void refuseIfLimited(
-            RouterWorld world,
-            RequestRow row,
-            List<EndpointRow> withCapacity,
-            RateLimits rateLimits) {
+            RouterWorld world, RequestRow row, List<EndpointRow> accepting, RateLimits rateLimits) {
         long maxWaitMillis =
                 row.spec().route().options().targetLatencyMillis() / Admission.QUEUE_WAIT_DIVISOR;
-        if (withCapacity.isEmpty() || row.deliveredTokens() > 0 || maxWaitMillis == 0) {
+        boolean mayBeRefused = row.deliveredTokens() == 0 && maxWaitMillis > 0;
+        if (!mayBeRefused || !rateLimits.limitsAll(accepting)) {
             return;
         }
         int queuedUpTo =
@@ -79,7 +77,7 @@
                                 .flatMap(id -> world.requests().find(id).stream())
                                 .filter(other -> comesBeforeOrIs(other, row))
                                 .count();
-        Optional<Long> waitMillis = rateLimits.waitMillis(withCapacity, queuedUpTo);
+        Optional<Long> waitMillis = rateLimits.waitMillis(accepting, queuedUpTo);
         if (waitMillis.filter(millis -> millis <= maxWaitMillis).isEmpty()) {
             RequestCompletion.refuse(
                     world,
--- a/core/src/main/java/org/bramleylatch/core/RateLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RateLimits.java
@@ -88,6 +88,11 @@
                 .isEmpty();
     }
 
+    /** Returns true if each of the endpoints has a limit. */
+    boolean limitsAll(List<EndpointRow> endpoints) {
+        return endpoints.stream().allMatch(row -> world.rateLimits().has(row.id()));
+    }
+
     /** Takes a permit for a request that is sent to the endpoint. */
     void countRequest(EndpointId endpoint) {
         world.rateLimits().update(endpoint, row -> row.requestSent(nowMillis));
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -342,7 +342,8 @@
 
     /**
      * Returns which versions may serve the request. During a move, retries go to the old version;
-     * until an order's move has begun, its target gets nothing.
+     * until an order's move has begun, its target gets nothing. Once a move is done and its target
+     * has been replaced in turn, any version may serve.
      */
     private Predicate<Version> versionFilter(RequestRow row) {
         Optional<RouterMoveRow> moveRow = moveOf(row.spec());
@@ -356,11 +357,23 @@
         }
         MoveSpec spec = moveRow.get().move().spec();
         boolean isRetry = row.attemptCount() > 0 && moveRow.get().move().isRunning();
+        if (moveRow.get().move().state() == MoveRow.State.DONE && !isListed(row, spec.to())) {
+            return version -> true;
+        }
         boolean goesToNew =
                 !isRetry && moveRow.get().versionFor(row.spec().key()).equals(spec.to());
         return goesToNew ? spec.to()::equals : isOldVersion(spec);
     }
 
+    private boolean isListed(RequestRow row, Version version) {
+        return endpoints
+                .rows()
+                .anyMatch(
+                        endpoint ->
+                                endpoint.backEnd().equals(row.spec().backEnd())
+                                        && endpoint.version().equals(version));
+    }
+
     /** An order names only its target, so that every other version is an old one. */
     private static Predicate<Version> isOldVersion(MoveSpec spec) {
         return spec.route().isOrdered()
--- a/core/src/test/java/org/bramleylatch/core/RateLimitSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RateLimitSystemTest.java
@@ -97,6 +97,18 @@
         assertThat(refusal.retryAfterMillis()).contains(1_000L);
     }
 
+    @Test
+    void aRequestWaitsWhileAnEndpointWithoutALimitIsFull() {
+        RouterFleet fleet = new RouterFleet(1, 2);
+        fleet.answerWithLimit("vm-1", fleet.endpointIds().get(0), Optional.of(0.5));
+        RequestId request = fleet.arrive("vm-1", "system", "own");
+        fleet.setFull(fleet.endpointIds().get(1));
+        RequestId waiting = fleet.arrive("vm-1", "system", "own");
+        assertThat(fleet.takeStarted()).hasSize(1);
+        assertThat(fleet.refusal("vm-1", request)).isEmpty();
+        assertThat(fleet.refusal("vm-1", waiting)).isEmpty();
+    }
+
     @Test
     void aRequestThatAnEndpointMayTakeInTimeWaitsForThePermit() {
         RouterFleet fleet = new RouterFleet(1, 1);
--- a/core/src/test/java/org/bramleylatch/core/RolloutSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RolloutSystemTest.java
@@ -71,6 +71,17 @@
         assertThat(fleet.reportedRollouts(VM)).containsExactly(MoveRow.State.DONE);
     }
 
+    @Test
+    void aVersionThatReplacesTheTargetLaterWithoutAnOrderServes() {
+        order();
+        fleet.receive(VM, new RouterInput.MoveChanged(move().ended(MoveRow.State.DONE, 9, "good")));
+        for (String name : List.of("new-1", "new-2")) {
+            fleet.receive(VM, new RouterInput.EndpointWithdrawn(EndpointId.of(name)));
+        }
+        arrive(10);
+        assertThat(startedAt(OLD)).isEqualTo(10);
+    }
+
     @Test
     void anOlderOrderIsIgnored() {
         order();
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -167,6 +167,12 @@
                                                 probe.endpoint(), endpointEnded, "test")));
     }
 
+    /** Lists the endpoint with a single slot. */
+    void setFull(EndpointId endpoint) {
+        EndpointRow row = endpoint(endpoint.value()).withSlots(1);
+        routers.keySet().forEach(vm -> receive(vm, new RouterInput.EndpointAnnounced(row)));
+    }
+
     /** Marks all endpoints as leaving. */
     void drainEndpoints() {
         routers.keySet()
