Order the routers of a limit once for each share

Cause: RateShare ranked each router by hashing all others, and sorted by that rank: with 70 routers some 50,000 hashes for one share, ten times a second for each limited endpoint. Now each router is hashed once; the same order, so the same shares.

--- a/core/src/main/java/org/bramleylatch/core/RateShare.java
+++ b/core/src/main/java/org/bramleylatch/core/RateShare.java
@@ -1,6 +1,5 @@
 package org.bramleylatch.core;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -46,14 +45,7 @@
 
     private List<Incarnation> users(EndpointId endpoint, double reachablePerSecond) {
         long maxUsers = (long) (MIN_USERS + USERS_PER_REQUEST_PER_SECOND * reachablePerSecond);
-        return world.keepers().stream()
-                .sorted(Comparator.comparingInt(keeper -> rank(endpoint, keeper)))
-                .limit(maxUsers)
-                .toList();
-    }
-
-    private int rank(EndpointId endpoint, Incarnation keeper) {
-        return Rendezvous.rank(endpoint.value(), keeper, world.keepers());
+        return Rendezvous.firsts(endpoint.value(), world.keepers(), maxUsers);
     }
 
     private double demandShare(EndpointId endpoint, Incarnation self, List<Incarnation> users) {
--- a/core/src/main/java/org/bramleylatch/core/Rendezvous.java
+++ b/core/src/main/java/org/bramleylatch/core/Rendezvous.java
@@ -4,7 +4,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /** Selects by rendezvous hashing, so that processes agree on a candidate without communication. */
 public final class Rendezvous {
@@ -16,10 +19,12 @@
         return candidates.stream().max(Comparator.comparingLong(c -> weight(key, c)));
     }
 
-    /** Returns how many of the candidates come before the given one in the order for the key. */
-    static int rank(String key, Incarnation candidate, Collection<Incarnation> candidates) {
-        long ownWeight = weight(key, candidate);
-        return (int) candidates.stream().filter(other -> weight(key, other) > ownWeight).count();
+    /** Returns the first candidates in the order for the key, at most the given number. */
+    static List<Incarnation> firsts(
+            String key, Collection<Incarnation> candidates, long maxCandidates) {
+        Map<Long, Incarnation> byWeight = new TreeMap<>(Comparator.reverseOrder());
+        candidates.forEach(candidate -> byWeight.put(weight(key, candidate), candidate));
+        return byWeight.values().stream().limit(maxCandidates).toList();
     }
 
     private static long weight(String key, Incarnation candidate) {
