Accept headers as long as the operator's limit allows

Callers whose headers exceed 8 KiB got 431 from the runtime before the router saw the request, although the operator's configuration allows 16 KiB; callers do not repeat after 431, so the request was lost to them without a line in the log. Cause: the server kept the runtime's default maximum, which is unrelated to the operator's limit. Found while looking for whole requests that end without an answer of ours.

The maximum is 64 KiB now, above the limits that operators set, as it can't follow a change of the configuration.

--- a/edge/src/main/java/org/bramleylatch/edge/HttpServers.java
+++ b/edge/src/main/java/org/bramleylatch/edge/HttpServers.java
@@ -16,6 +16,12 @@
 
     private static final int SEND_BUFFER_BYTES = 64 * 1024;
 
+    /**
+     * Exceeds the header limits that operators set for callers, as the runtime's own limit can't
+     * follow a change of the configuration.
+     */
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
+
     private HttpServers() {}
 
     /**
@@ -30,6 +36,8 @@
                         .setHost(address.ip())
                         .setPort(address.port())
                         .setSendBufferSize(SEND_BUFFER_BYTES)
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setMaxInitialLineLength(MAX_HEADER_BYTES)
                         .setTcpNoDelay(true);
         return vertx.createHttpServer(options)
                 .requestHandler(handler)
