Never hand a whole answer to a caller whose stream has begun

Callers saw the first events of a resumable stream and then nothing: neither an end nor a closed connection. The stream had broken off, and the next endpoint answered with 404, 500 or 200 with JSON.

Cause: AnswerRelay.deliverServiceAnswer did not ask whether tokens had been delivered, so the answer went to an exchange whose head was sent; writing a status threw, and nobody owned the request.

Before the change, BegunStreamTest failed in five of seven cases: "Expecting empty but was: [DeliverServiceAnswer[request=request-2, status=404, body=no stream]]" (200 and 500 likewise), and StreamContinuationTest in six of seven, each after 6 s of silence: "[closed] Expecting value to be true but was false", with "output message could not be handled: DeliverServiceAnswer" in the log.

Change: a whole answer to a begun stream fails the attempt as one that ran. The stream continues at another endpoint while attempts are left, else it is broken off with ANSWER_INCOMPLETE.

Measured: both classes pass, 14 cases; the caller of each broken stream sees its connection close. The run of all gateway tests had one failure outside this change: "Pool closed" in GatewayTest, from a client of the harness that nothing refers to while its call runs.

--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -75,8 +75,15 @@
         return true;
     }
 
-    /** Relays a service's answer; a server error fails the attempt while a retry is allowed. */
+    /**
+     * Relays a service's answer; a server error fails the attempt while a retry is allowed, and any
+     * whole answer fails it if the caller has the beginning of a stream, which it can't continue.
+     */
     boolean deliverServiceAnswer(ServiceAnswered answered) {
+        if (hasBegun(answered.attempt())) {
+            String detail = "whole answer with status " + answered.status() + " to a begun stream";
+            return failAttempt(new AttemptFailed(answered.attempt(), RunState.RAN, detail));
+        }
         if (answered.status() >= FIRST_SERVER_ERROR_STATUS && canRetry(answered.attempt())) {
             String detail = "service answered with status " + answered.status();
             return failAttempt(new AttemptFailed(answered.attempt(), RunState.RAN, detail));
@@ -172,6 +179,14 @@
         }
     }
 
+    private boolean hasBegun(AttemptId attempt) {
+        return world.attempts()
+                .find(attempt)
+                .flatMap(row -> world.requests().find(row.request()))
+                .filter(row -> row.deliveredTokens() > 0)
+                .isPresent();
+    }
+
     private boolean canRetry(AttemptId attempt) {
         return world.attempts()
                 .find(attempt)
