Close a connection on which an endpoint has refused a request

Callers of resumable streams got 503 "not run" for requests that an endpoint was running. A faulty endpoint had written an earlier refusal once more on a kept connection; the copy came after the next request was sent and before its own answer, and was taken for that answer, as it had no request id or that of a caller's own second try.

Cause: handleRefusal only marked the call as finished, so the connection went back to the pool. An answer of another request did so too until the router's next tick cancelled the attempt.

Change: the connection is closed while the head is handled. The runtime removes a connection from its pool when the close begins, and returns one to the pool only after the head was handled, also if head and body arrive together.

Successes keep their connection.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -109,6 +109,7 @@
                     new RouterInput.RateLimitObserved(endpoint, head.requestsPerSecondLimit()));
         }
         if (!head.isAnswerTo(exchange.head().id())) {
+            closeConnection();
             fail(RunState.UNKNOWN, "answer does not match the request");
         } else if (head.reportsNotRun()) {
             handleRefusal(head, answer.statusCode());
@@ -124,6 +125,7 @@
 
     private void handleRefusal(EndpointAnswerHead head, int status) {
         finished = true;
+        closeConnection();
         if (head.isMisdirected()) {
             inbox.accept(new RouterInput.EndpointReplaced(endpoint));
         }
@@ -131,6 +133,14 @@
         inbox.accept(new RouterInput.AttemptFailed(attempt, RunState.NOT_RUN, detail));
     }
 
+    /**
+     * Closes the connection before the pool can hand it out again, since a late copy of the answer
+     * may follow on it.
+     */
+    private void closeConnection() {
+        request.ifPresent(sent -> sent.connection().close());
+    }
+
     private void readStream(HttpClientResponse answer, boolean endsWithConnection) {
         EventSplitter splitter = new EventSplitter(this::receiveEvent);
         answer.handler(bytes -> appendToStream(splitter, bytes));
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -127,6 +127,10 @@
         return send(options(path, key));
     }
 
+    Answer callWithId(String path, String requestId) throws Exception {
+        return send(options(path, "secret").putHeader("request-id", requestId));
+    }
+
     Answer callWithPrompt(String parts) throws Exception {
         return send(options("/chat/1", "secret").putHeader("prompt-prefix", parts));
     }
--- /dev/null
+++ b/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
@@ -0,0 +1,124 @@
+package org.bramleylatch.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.bramleylatch.gateway.KeptConnectionEndpoint.Behavior;
+import org.bramleylatch.gateway.KeptConnectionEndpoint.Request;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against taking a late copy of an earlier answer for the answer to the request that follows
+ * on its connection: the caller was told "not run" while the endpoint ran the request.
+ */
+class LateCopyTest {
+    private static final String NOT_RUN = "not-executed: 1\r\n";
+
+    private final GatewayHarness harness = new GatewayHarness();
+    private final List<KeptConnectionEndpoint> endpoints = new ArrayList<>();
+
+    @BeforeEach
+    void start() throws Exception {
+        harness.start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (KeptConnectionEndpoint endpoint : endpoints) {
+            endpoint.close();
+        }
+        harness.stop();
+    }
+
+    @Test
+    void aCopyOfARefusalWithoutAnIdNeverAnswersTheNextRequest() throws Exception {
+        assertThatACopyAnswersNothing(refusal(503, ""));
+    }
+
+    @Test
+    void aCopyOfARefusalNeverAnswersARequestWithTheSameId() throws Exception {
+        assertThatACopyAnswersNothing(refusal(503, id("request-1")));
+    }
+
+    @Test
+    void aCopyOfARateLimitedRefusalNeverAnswersTheNextRequest() throws Exception {
+        assertThatACopyAnswersNothing(refusal(429, ""));
+    }
+
+    @Test
+    void aConnectionThatHasCarriedARefusalCarriesNoFurtherRequest() throws Exception {
+        KeptConnectionEndpoint endpoint = addRefusingEndpoint(refusal(503, id("request-1")), "");
+        for (int call = 0; call < 5; call++) {
+            harness.call("/chat/1");
+        }
+        assertThat(endpoint.requests()).extracting(Request::use).containsOnly(1);
+    }
+
+    @Test
+    void aConnectionThatHasCarriedACopyBehindARefusalInOneSegmentCarriesNoFurtherRequest()
+            throws Exception {
+        String refusal = refusal(503, id("request-1"));
+        KeptConnectionEndpoint endpoint = addRefusingEndpoint(refusal, refusal);
+        for (int call = 0; call < 5; call++) {
+            harness.call("/chat/1");
+        }
+        assertThat(endpoint.requests()).extracting(Request::use).containsOnly(1);
+    }
+
+    /** Refuses the first request; writes a copy after the next one arrived on its connection. */
+    private void assertThatACopyAnswersNothing(String refusal) throws Exception {
+        addEndpoint(
+                (request, socket) -> {
+                    if (request.use() > 1) {
+                        RawEndpoint.write(socket, refusal);
+                        Thread.sleep(50);
+                    }
+                    RawEndpoint.write(socket, isFirst(request) ? refusal : stream(request));
+                });
+        assertThat(harness.call("/chat/1").status()).isEqualTo(503);
+        assertThat(harness.call("/chat/1").status()).isEqualTo(200);
+    }
+
+    private KeptConnectionEndpoint addRefusingEndpoint(String refusal, String copy)
+            throws Exception {
+        return addEndpoint((request, socket) -> RawEndpoint.write(socket, refusal + copy));
+    }
+
+    private KeptConnectionEndpoint addEndpoint(Behavior behavior) throws Exception {
+        KeptConnectionEndpoint endpoint =
+                KeptConnectionEndpoint.add(harness, "llm", "i-1", behavior);
+        endpoints.add(endpoint);
+        harness.configureAndAwaitReady();
+        return endpoint;
+    }
+
+    private static boolean isFirst(Request request) {
+        return request.connection() == 1 && request.use() == 1;
+    }
+
+    private static String refusal(int status, String headers) {
+        return whole(status, NOT_RUN + headers);
+    }
+
+    private static String whole(int status, String headers) {
+        return "HTTP/1.1 " + status + " Status\r\n" + headers + "content-length: 2\r\n\r\nno";
+    }
+
+    private static String stream(Request request) {
+        String event = GatewayHarness.event(1);
+        return "HTTP/1.1 200 OK\r\nserver-seal: seal-1\r\ncontent-type: text/event-stream\r\n"
+                + id(request.id())
+                + "content-length: "
+                + event.length()
+                + "\r\n\r\n"
+                + event;
+    }
+
+    private static String id(String requestId) {
+        return "request-id: " + requestId + "\r\n";
+    }
+}
