Report an attempt or probe that the runtime's client refuses to start

An exception of the runtime's client in the middle of startAttempt left the attempt in the table of calls and told nobody, so its caller got 504 after the whole deadline ("output message could not be handled: StartAttempt" in the log). The attempt is reported as failed now: not connected and not run, as nothing was sent; a probe as one that shows no refused connection. Both leave a log line with the entry. Ruled out: a leak after other failures, as the router cancels each failed attempt. Evidence, before the change, in both tests of EndpointClientTest: "IllegalArgument port p must be in range 0 <= p <= 65535".

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -25,9 +25,14 @@
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.platform.EndpointEntry;
 import org.bramleylatch.platform.EndpointRequestHead;
+import org.bramleylatch.wire.Address;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Sends attempts to endpoints over HTTP and passes their answers to the router. */
 final class EndpointClient {
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointClient.class);
+
     /**
      * Covers many round trips between zones. TCP retransmits a lost packet of the handshake only
      * after this time, so a new attempt is faster.
@@ -87,18 +92,16 @@
                         new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     }
 
-    /** Starts an attempt; reports it as not run if its caller, request or endpoint is unknown. */
+    /**
+     * Starts an attempt. Reports it as not run if its caller, request or endpoint is unknown, or if
+     * the runtime's client refuses to open a connection to the endpoint's address.
+     */
     void startAttempt(RouterOutput.StartAttempt start) {
         Optional<CallerExchange> exchange = exchanges.apply(start.request());
         Optional<RequestSpec> spec = specs.apply(start.request());
         Optional<EndpointEntry> entry = registry.apply(start.endpoint());
         if (exchange.isEmpty() || spec.isEmpty() || entry.isEmpty()) {
-            inbox.accept(
-                    new RouterInput.AttemptFailed(
-                            start.attempt(),
-                            RunState.NOT_RUN,
-                            "no caller, request or endpoint address",
-                            RouterInput.AttemptFailed.Cause.NOT_CONNECTED));
+            reportNotStarted(start.attempt(), "no caller, request or endpoint address");
             return;
         }
         EndpointCall call =
@@ -111,10 +114,31 @@
                         bufferBudget,
                         message -> forward(start.attempt(), message));
         calls.put(start.attempt(), call);
-        clientFor(spec.get())
-                .request(requestOptions(exchange.get(), spec.get(), entry.get()))
-                .onSuccess(call::send)
-                .onFailure(call::connectionFailed);
+        try {
+            clientFor(spec.get())
+                    .request(requestOptions(exchange.get(), spec.get(), entry.get()))
+                    .onSuccess(call::send)
+                    .onFailure(call::connectionFailed);
+        } catch (RuntimeException refused) {
+            calls.remove(start.attempt());
+            LOG.warn("attempt at {} not started, {}", start.endpoint(), entry.get(), refused);
+            reportNotStarted(
+                    start.attempt(), start.endpoint() + " not connected: " + refused.getMessage());
+        }
+    }
+
+    private void reportNotStarted(AttemptId attempt, String detail) {
+        inbox.accept(
+                new RouterInput.AttemptFailed(
+                        attempt,
+                        RunState.NOT_RUN,
+                        detail,
+                        RouterInput.AttemptFailed.Cause.NOT_CONNECTED));
+    }
+
+    /** Returns the number of attempts whose answer has not ended. */
+    int openCalls() {
+        return calls.size();
     }
 
     /** Cancels an attempt and closes its connection. */
@@ -132,8 +156,17 @@
             reportProbe(probe, false, "address unknown");
             return;
         }
+        try {
+            probe(probe, entry.get().address());
+        } catch (RuntimeException refused) {
+            LOG.warn("probe of {} not started, {}", probe.endpoint(), entry.get(), refused);
+            reportProbe(probe, false, "not started: " + refused.getMessage());
+        }
+    }
+
+    private void probe(RouterOutput.ProbeEndpoint probe, Address address) {
         probeClient
-                .connect(entry.get().address().port(), entry.get().address().ip())
+                .connect(address.port(), address.ip())
                 .onSuccess(
                         socket -> {
                             socket.close();
