Withdraw an endpoint whose entry another writer made invalid

An invalid entry was skipped, so the endpoint that its key named before stayed in use by routers that had read the valid one, and was unknown to a router that started later and read only the newest value of each key. Running requests go on, as for any withdrawn endpoint. Weighed and left: keeping the earlier entry, which makes routers differ by when they started. Evidence, before the change, in all three tests of EndpointRegistryTest: "Expecting ArrayList: ... to contain: [EndpointWithdrawn[endpoint=i-1/17]]" and no announcement after the entry was valid again.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointRegistry.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointRegistry.java
@@ -66,18 +66,29 @@
         missing.forEach(this::withdraw);
     }
 
+    /**
+     * Applies a change. An invalid entry names no endpoint, so it withdraws the one that its key
+     * named before: a process that starts later sees only the invalid entry and must decide alike.
+     */
     private void applyChange(KeyedChange change) {
         Optional<EndpointEntry> entry =
                 change.value().flatMap(text -> EndpointEntry.parse(change.key(), text));
         if (entry.isPresent()) {
             replace(change.key(), entry.get());
-        } else if (change.value().isEmpty()) {
-            withdraw(change.key());
         } else {
-            LOG.info("ignored registry entry {}: not a valid endpoint", change.key());
+            change.value().ifPresent(text -> logInvalid(change));
+            withdraw(change.key());
         }
     }
 
+    private void logInvalid(KeyedChange change) {
+        LOG.warn(
+                "registry entry {} at offset {} is invalid and names no endpoint, known before: {}",
+                change.key(),
+                change.offset(),
+                listedByKey.containsKey(change.key()));
+    }
+
     private void replace(String key, EndpointEntry entry) {
         Optional<EndpointEntry> previous = Optional.ofNullable(listedByKey.put(key, entry));
         previous.filter(old -> !old.id().equals(entry.id()))
