Keep the rest of a tick when one message, timer or system throws

Cause: TickLoop.tick had no guard around the schedule. An exception ended the tick: the rest of the inbox was lost, the outbox was not handled and no timer was set. Placement stopped at the first request that throws, at each tick again, so that no request behind it reached an endpoint.

Change: FailureHandler guards each message, timer and system; the inbox and timer systems, the schedule and the placement get it with their constructors. FailureLog of the edge logs the failed step. A request whose placement throws is refused as INTERNAL with its true run state. An error, such as an overflow of the stack, still drops no output and no timer. Harnesses and fakes of the tests throw again, so that no test passes over a failure; TickLoopTest only takes the new factory.

--- a/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
+++ b/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
@@ -21,6 +21,7 @@
 import org.bramleylatch.core.MessageHandlers;
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.edge.Daemon;
+import org.bramleylatch.edge.FailureLog;
 import org.bramleylatch.edge.HttpServers;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.LedgerStream;
@@ -67,7 +68,7 @@
                         vertx.getOrCreateContext(),
                         clock,
                         AdminWorld.of(self),
-                        AdminWorld.schedule(KeeperLimits.standalone()),
+                        AdminWorld.schedule(KeeperLimits.standalone(), FailureLog.handler()),
                         this::handleOutput);
         this.ledgerStream =
                 new LedgerStream(
--- a/bench/src/main/java/org/bramleylatch/bench/CapacityMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/CapacityMain.java
@@ -8,6 +8,7 @@
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
+import org.bramleylatch.core.FailureHandler;
 import org.bramleylatch.core.GrantKey;
 import org.bramleylatch.core.GrantPolicy;
 import org.bramleylatch.core.Incarnation;
@@ -106,7 +107,8 @@
         Schedule<KeeperWorld> schedule =
                 KeeperSystems.schedule(
                         GrantPolicy.byDemand(2, 4_000),
-                        KeeperLimits.standalone().withSnapshotEveryRecords(Integer.MAX_VALUE / 2));
+                        KeeperLimits.standalone().withSnapshotEveryRecords(Integer.MAX_VALUE / 2),
+                        FailureHandler.rethrowing());
         List<LogEntry> log = new ArrayList<>();
         BudgetId budget = BudgetId.of("member-1");
         Incarnation operator = Incarnation.of("operator");
--- a/core/src/main/java/org/bramleylatch/core/AdminWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/AdminWorld.java
@@ -28,9 +28,16 @@
         return new AdminWorld(self);
     }
 
-    /** Returns the systems of the administration API: process the inbox, then append to the log. */
-    public static Schedule<AdminWorld> schedule(KeeperLimits limits) {
-        return Schedule.of(AdminWorld::processInbox, (world, now) -> world.append(now, limits));
+    /**
+     * Returns the systems of the administration API: process the inbox, then append to the log.
+     *
+     * @param failures handles the exceptions of messages and systems
+     */
+    public static Schedule<AdminWorld> schedule(KeeperLimits limits, FailureHandler failures) {
+        return Schedule.of(
+                failures,
+                (world, now) -> world.processInbox(failures),
+                (world, now) -> world.append(now, limits));
     }
 
     @Override
@@ -53,14 +60,14 @@
         return ledger;
     }
 
-    private void processInbox(long nowMillis) {
+    private void processInbox(FailureHandler failures) {
         Dispatch<AdminInput, Boolean> handlers =
                 Dispatch.<AdminInput, Boolean>empty()
                         .on(AdminInput.Proposed.class, this::propose)
                         .on(
                                 AdminInput.FromLog.class,
                                 input -> logUpdateHandlers().apply(input.update()));
-        inbox.take(Integer.MAX_VALUE).forEach(handlers::apply);
+        inbox.take(Integer.MAX_VALUE).forEach(failures.guard(handlers::apply));
     }
 
     private Dispatch<LogUpdate, Boolean> logUpdateHandlers() {
--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -24,7 +24,8 @@
 import org.bramleylatch.core.ReservationRow.NotedAttempt;
 
 /** Applies the messages that arrived to the keeper's tables and queues the answers. */
-record KeeperInboxSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
+record KeeperInboxSystem(KeeperLimits limits, FailureHandler failures)
+        implements TickSystem<KeeperWorld> {
     /**
      * Long enough for a round trip through the log, and shorter than the time that a router waits
      * for a lender.
@@ -37,7 +38,7 @@
     public void run(KeeperWorld world, long nowMillis) {
         Handlers handlers = new Handlers(world, limits, nowMillis);
         Dispatch<KeeperInput, Boolean> messageHandlers = handlers.messageHandlers();
-        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(messageHandlers::apply);
+        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(failures.guard(messageHandlers::apply));
     }
 
     /**
--- a/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
@@ -9,11 +9,14 @@
      * Creates the schedule of one keeper; its systems may hold state and must not be shared.
      *
      * @param policy decides the sizes of grants
+     * @param failures handles the exceptions of messages, timers and systems
      */
-    public static Schedule<KeeperWorld> schedule(GrantPolicy policy, KeeperLimits limits) {
+    public static Schedule<KeeperWorld> schedule(
+            GrantPolicy policy, KeeperLimits limits, FailureHandler failures) {
         return Schedule.of(
-                new KeeperInboxSystem(limits),
-                new KeeperTimerSystem(limits),
+                failures,
+                new KeeperInboxSystem(limits, failures),
+                new KeeperTimerSystem(limits, failures),
                 new UsableShareSystem(limits),
                 new SuccessionSystem(limits),
                 new ReservationSystem(limits),
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
@@ -12,7 +12,8 @@
 import org.bramleylatch.core.KeeperTimer.SnapshotDue;
 
 /** Handles the deadlines that have passed. */
-record KeeperTimerSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
+record KeeperTimerSystem(KeeperLimits limits, FailureHandler failures)
+        implements TickSystem<KeeperWorld> {
     private static final double IDLE_DEMAND_TOKENS_PER_HOUR = 1;
 
     @Override
@@ -27,7 +28,7 @@
                         .on(AppendDue.class, due -> true)
                         .on(ClockTimeout.class, due -> true)
                         .on(GrantReview.class, due -> reviewGrants(world, due, nowMillis));
-        world.timers().takeDue(nowMillis).forEach(handlers::apply);
+        world.timers().takeDue(nowMillis).forEach(failures.guard(handlers::apply));
     }
 
     private boolean refuseReservation(KeeperWorld world, RequestKey key) {
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -9,7 +9,7 @@
  * Starts attempts of queued requests at endpoints with capacity, in order of priority. A request
  * stays queued while endpoints accept work but lack capacity.
  */
-record PlacementSystem(Placement placement, RouterLimits limits)
+record PlacementSystem(Placement placement, RouterLimits limits, FailureHandler failures)
         implements TickSystem<RouterWorld> {
 
     @Override
@@ -19,7 +19,25 @@
                     .flatMap(id -> world.requests().find(id).stream())
                     .filter(row -> row.stage() == Stage.QUEUED)
                     .sorted(Comparator.comparingInt(row -> row.spec().traits().priority()))
-                    .forEach(row -> place(world, row, nowMillis));
+                    .forEach(row -> placeOrRefuse(world, row, nowMillis));
+        }
+    }
+
+    /** Places a request, or ends it if that throws, as it would throw at each tick. */
+    private void placeOrRefuse(RouterWorld world, RequestRow row, long nowMillis) {
+        try {
+            place(world, row, nowMillis);
+        } catch (RuntimeException failure) {
+            world.requests()
+                    .find(row.spec().id())
+                    .ifPresent(
+                            found ->
+                                    RequestCompletion.refuse(
+                                            world,
+                                            found,
+                                            ResultCode.INTERNAL,
+                                            "request could not be placed"));
+            failures.handle(row, failure);
         }
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -34,7 +34,8 @@
 import org.bramleylatch.core.RouterInput.UsageHeld;
 
 /** Passes each message of the inbox to its handler, which updates the router's tables. */
-record RouterInboxSystem(RouterLimits limits) implements TickSystem<RouterWorld> {
+record RouterInboxSystem(RouterLimits limits, FailureHandler failures)
+        implements TickSystem<RouterWorld> {
     /** Messages beyond this number stay in the inbox until the next tick. */
     private static final int MAX_MESSAGES_PER_TICK = 4_000;
 
@@ -48,7 +49,7 @@
         addAnswerHandlers(handlers, world, nowMillis);
         addEndpointHandlers(handlers, world, nowMillis);
         addFleetHandlers(handlers, world, nowMillis);
-        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(handlers::apply);
+        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(failures.guard(handlers::apply));
     }
 
     private void addRequestHandlers(
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -10,15 +10,18 @@
      *
      * @param placement the choice among endpoints with capacity
      * @param limits the maximums and timeouts
+     * @param failures handles the exceptions of messages, timers and systems
      */
-    public static Schedule<RouterWorld> schedule(Placement placement, RouterLimits limits) {
+    public static Schedule<RouterWorld> schedule(
+            Placement placement, RouterLimits limits, FailureHandler failures) {
         return Schedule.of(
-                new RouterInboxSystem(limits),
-                new RouterTimerSystem(limits),
+                failures,
+                new RouterInboxSystem(limits, failures),
+                new RouterTimerSystem(limits, failures),
                 new QuarantineSystem(),
                 new RateLimitSystem(),
                 new RolloutSystem(),
-                new PlacementSystem(placement, limits),
+                new PlacementSystem(placement, limits, failures),
                 new SettlementSystem(),
                 new MoveReportSystem(limits),
                 new RouterStopSystem());
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -12,7 +12,8 @@
 import org.bramleylatch.core.RouterTimer.WithdrawalDue;
 
 /** Handles the timers that are due: expires requests and reservations, and checks attempts. */
-record RouterTimerSystem(RouterLimits limits) implements TickSystem<RouterWorld> {
+record RouterTimerSystem(RouterLimits limits, FailureHandler failures)
+        implements TickSystem<RouterWorld> {
 
     @Override
     public void run(RouterWorld world, long nowMillis) {
@@ -36,7 +37,7 @@
                         .on(
                                 UsageHoldTimeout.class,
                                 due -> Settlements.finishAnswer(world, due.key()));
-        world.timers().takeDue(nowMillis).forEach(handlers::apply);
+        world.timers().takeDue(nowMillis).forEach(failures.guard(handlers::apply));
     }
 
     private static boolean expire(RouterWorld world, RequestId id) {
--- a/core/src/test/java/org/bramleylatch/core/KeeperHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperHarness.java
@@ -33,7 +33,7 @@
     /** Creates a keeper with the given policy and limits, and no budget. */
     KeeperHarness(Incarnation keeper, GrantPolicy policy, KeeperLimits limits) {
         world = KeeperWorld.of(keeper);
-        schedule = KeeperSystems.schedule(policy, limits);
+        schedule = KeeperSystems.schedule(policy, limits, FailureHandler.rethrowing());
     }
 
     void reserve(Incarnation router, RequestKey key, long tokens) {
--- a/core/src/test/java/org/bramleylatch/core/KeeperWorldTest.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperWorldTest.java
@@ -219,7 +219,10 @@
                 .add(
                         new KeeperInput.FromLog(
                                 new LogUpdate.SnapshotLoaded(keeper.world.ledger().snapshot())));
-        KeeperSystems.schedule(GrantPolicy.byDemand(0, 1), KeeperLimits.standalone())
+        KeeperSystems.schedule(
+                        GrantPolicy.byDemand(0, 1),
+                        KeeperLimits.standalone(),
+                        FailureHandler.rethrowing())
                 .tick(other, 0);
         assertThat(other.ledger().settledKeys().has(KEY_ONE)).isTrue();
     }
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -31,7 +31,9 @@
 
     private final Schedule<RouterWorld> schedule =
             RouterSystems.schedule(
-                    Placement.bySharedPrefix(), RouterLimits.colocatedWithKeeper(56, 200, 10_000));
+                    Placement.bySharedPrefix(),
+                    RouterLimits.colocatedWithKeeper(56, 200, 10_000),
+                    FailureHandler.rethrowing());
     private final Map<String, RouterWorld> routers = new TreeMap<>();
     private final Map<String, List<RouterOutput>> outputs = new TreeMap<>();
     private final Map<String, RouterReport> storedReports = new TreeMap<>();
--- a/core/src/test/java/org/bramleylatch/core/RouterHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterHarness.java
@@ -35,7 +35,11 @@
     }
 
     RouterHarness(Placement placement, RouterLimits limits) {
-        schedule = RouterSystems.schedule(placement, limits);
+        this(placement, limits, FailureHandler.rethrowing());
+    }
+
+    RouterHarness(Placement placement, RouterLimits limits, FailureHandler failures) {
+        schedule = RouterSystems.schedule(placement, limits, failures);
         world = RouterWorld.of(Incarnation.of("router"), ZONE, this::nextAttemptId);
         receive(new RouterInput.KeeperUp(KEEPER));
     }
--- a/edge/src/main/java/org/bramleylatch/edge/TickLoop.java
+++ b/edge/src/main/java/org/bramleylatch/edge/TickLoop.java
@@ -79,7 +79,15 @@
 
     private void tick() {
         tickScheduled = false;
-        schedule.tick(world, clock.millis());
+        try {
+            schedule.tick(world, clock.millis());
+        } finally {
+            // An error, such as an overflow of the stack, must not drop the outputs and the timer.
+            sendOutputs();
+        }
+    }
+
+    private void sendOutputs() {
         world.outbox().take(MAX_OUTPUTS_PER_TICK).forEach(this::handleOutput);
         if (!world.inbox().isEmpty() || !world.outbox().isEmpty()) {
             tickScheduled = true;
--- a/edge/src/test/java/org/bramleylatch/edge/TickLoopTest.java
+++ b/edge/src/test/java/org/bramleylatch/edge/TickLoopTest.java
@@ -4,10 +4,10 @@
 
 import io.vertx.core.Vertx;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.bramleylatch.core.FailureHandler;
 import org.bramleylatch.core.Mailbox;
 import org.bramleylatch.core.Schedule;
 import org.bramleylatch.core.World;
@@ -25,7 +25,9 @@
                         vertx.getOrCreateContext(),
                         InstantSource.system(),
                         new EchoWorld(Mailbox.empty(), Mailbox.empty()),
-                        new Schedule<>(List.of((world, nowMillis) -> world.copyInboxToOutbox())),
+                        Schedule.of(
+                                FailureHandler.rethrowing(),
+                                (world, nowMillis) -> world.copyInboxToOutbox()),
                         message -> failOnBroken(message, handled));
         loop.offer("broken");
         loop.offer("whole");
--- a/fakes/src/main/java/org/bramleylatch/fakes/FakeKeeper.java
+++ b/fakes/src/main/java/org/bramleylatch/fakes/FakeKeeper.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.function.Consumer;
+import org.bramleylatch.core.FailureHandler;
 import org.bramleylatch.core.GrantPolicy;
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.KeeperInput;
@@ -61,7 +62,7 @@
         this.log = log;
         this.zone = zone;
         this.world = KeeperWorld.of(self);
-        this.schedule = KeeperSystems.schedule(policy, limits);
+        this.schedule = KeeperSystems.schedule(policy, limits, FailureHandler.rethrowing());
         this.outputConsumer = outputConsumer;
         log.addReader(this::scheduleRead);
         scheduleRead();
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -32,6 +32,7 @@
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RouterSystems;
 import org.bramleylatch.core.RouterWorld;
+import org.bramleylatch.edge.FailureLog;
 import org.bramleylatch.edge.HttpServers;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
@@ -139,7 +140,10 @@
                 context,
                 clock,
                 RouterWorld.of(router, boot.zone(), () -> AttemptId.of(RandomIds.hexId())),
-                RouterSystems.schedule(Placement.bySharedPrefix(), routerLimits(boot.limits())),
+                RouterSystems.schedule(
+                        Placement.bySharedPrefix(),
+                        routerLimits(boot.limits()),
+                        FailureLog.handler()),
                 this::handleOutput);
     }
 
@@ -153,7 +157,9 @@
                 clock,
                 KeeperWorld.of(keeper),
                 KeeperSystems.schedule(
-                        policy, KeeperLimits.colocatedWithRouter(boot.logRetentionMillis())),
+                        policy,
+                        KeeperLimits.colocatedWithRouter(boot.logRetentionMillis()),
+                        FailureLog.handler()),
                 this::handleOutput);
     }
 
--- a/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
@@ -20,6 +20,7 @@
 import org.bramleylatch.core.KeeperWorld;
 import org.bramleylatch.core.MessageHandlers;
 import org.bramleylatch.edge.Daemon;
+import org.bramleylatch.edge.FailureLog;
 import org.bramleylatch.edge.HttpServers;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.LedgerStream;
@@ -78,7 +79,7 @@
                         context,
                         clock,
                         KeeperWorld.of(self),
-                        KeeperSystems.schedule(policy, limits),
+                        KeeperSystems.schedule(policy, limits, FailureLog.handler()),
                         this::handleOutput);
         this.routerConnections = new RouterConnections(vertx, self, hybridClock, loop::offer);
         this.ledgerStream =
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -20,6 +20,7 @@
 import org.bramleylatch.core.RouterWorld;
 import org.bramleylatch.edge.ConfigStream;
 import org.bramleylatch.edge.Daemon;
+import org.bramleylatch.edge.FailureLog;
 import org.bramleylatch.edge.HttpServers;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
@@ -72,7 +73,10 @@
                         vertx.getOrCreateContext(),
                         clock,
                         world,
-                        RouterSystems.schedule(Placement.byAffinity(), RouterLimits.standalone()),
+                        RouterSystems.schedule(
+                                Placement.byAffinity(),
+                                RouterLimits.standalone(),
+                                FailureLog.handler()),
                         this::handleOutput);
         this.callerServer =
                 new CallerServer(clock, settings.mostBodyBytes(), world, loop::offer, metrics);
