Let a stopping gateway write its last answers before it exits

A caller that reads slowly got the beginning of a whole answer and then a reset when its VM was stopped as planned: the request was accepted, served and billed, and its answer was lost. Cause: the router counts a request as ended when it hands the answer to the connection, and the process exits once router and keeper have stopped; nobody owned the bytes that waited in the write queue. Class: a request leaves its table before its answer is on its way.

AnswerWrites counts the answers that are being written; the end of the grace period still bounds the stop.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -28,16 +28,22 @@
     private final CallerRequestHead head;
     private final Buffer body;
     private final long arrivedMillis;
+    private final AnswerWrites writes;
     private Optional<EndpointAnswerHead> answerHead = Optional.empty();
     private OptionalLong lastEventId = OptionalLong.empty();
     private boolean started;
 
     CallerExchange(
-            HttpServerRequest request, CallerRequestHead head, Buffer body, long arrivedMillis) {
+            HttpServerRequest request,
+            CallerRequestHead head,
+            Buffer body,
+            long arrivedMillis,
+            AnswerWrites writes) {
         this.request = request;
         this.head = head;
         this.body = body;
         this.arrivedMillis = arrivedMillis;
+        this.writes = writes;
     }
 
     HttpServerRequest request() {
@@ -151,6 +157,7 @@
             response().putHeader("connection", "close");
         }
         Future<Void> sent = response().end(last);
+        writes.add(sent);
         if (close) {
             sent.onComplete(done -> request.connection().close());
         }
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -33,6 +34,7 @@
     private final Runnable onBrokenRequest;
     private final IntSupplier maxBodyBytes;
     private final BooleanSupplier draining;
+    private final AnswerWrites writes = new AnswerWrites();
     private final Map<RequestId, CallerExchange> exchanges = new HashMap<>();
     private final MessageHandlers<RouterOutput> handlers = handlers();
     private long requestCount;
@@ -79,6 +81,13 @@
         return Optional.ofNullable(exchanges.get(request));
     }
 
+    /**
+     * Returns a future that completes once every answer that has ended is written to its caller.
+     */
+    CompletableFuture<Void> whenAnswersWritten() {
+        return writes.whenDone();
+    }
+
     /** Sends tokens, an answer or a refusal to the caller of the request that the message names. */
     void handleOutput(RouterOutput output) {
         handlers.accept(output);
@@ -111,11 +120,12 @@
             if (body.length() > maxBodyBytes.getAsInt()) {
                 throw ResultException.of(ResultCode.BODY_TOO_LARGE, "body");
             }
-            openExchange(new CallerExchange(request, head, body, arrivedMillis));
+            openExchange(new CallerExchange(request, head, body, arrivedMillis, writes));
         } catch (ResultException refused) {
             metrics.countRefusal(refused.code());
             CallerExchange exchange =
-                    new CallerExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
+                    new CallerExchange(
+                            request, CallerRequestHead.empty(), body, arrivedMillis, writes);
             exchange.refuse(
                     new RouterOutput.Refuse(
                             RequestId.of(""),
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -317,9 +317,11 @@
         vertx.setTimer(routerStopDelayMillis, ignored -> routerStopped.complete(null));
         vertx.setTimer(
                 boot.limits().shutdownGraceMillis() - LAST_APPENDS_MILLIS / 2,
-                ignored -> keeperStopped.complete(null));
+                ignored -> stopped.complete(null));
         routerStopped.thenRun(() -> keeperLoop.offer(new KeeperInput.StopAsked()));
-        keeperStopped.thenRun(() -> stopped.complete(null));
+        keeperStopped
+                .thenCompose(done -> callerServer.whenAnswersWritten())
+                .thenRun(() -> stopped.complete(null));
     }
 
     private void handleOutput(RouterOutput output) {
--- a/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
@@ -103,7 +103,12 @@
 
     private void holdExchange(HttpServerRequest request) {
         exchange.set(
-                new CallerExchange(request, CallerRequestHead.empty(), Buffer.buffer("body"), 0));
+                new CallerExchange(
+                        request,
+                        CallerRequestHead.empty(),
+                        Buffer.buffer("body"),
+                        0,
+                        new AnswerWrites()));
     }
 
     private static EndpointEntry entry() {
