Close the connection of a caller whose answer can't be written

Callers waited for good when writing their answer failed: the exchange had left its table, the exception was logged with the message only, and neither an end nor a close reached the caller.

Cause: CallerServer removed the exchange before it wrote, and nobody handled a failure after that. Writing a whole answer after a begun stream is one way to fail, a status that can't be encoded another; a write that fails later had no handler either.

Change: a failure while a part or the end of an answer is written logs the request's id, tells the router that the caller is gone, and closes the connection; so does a write that fails afterwards. A whole answer never follows the beginning of a stream.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -79,7 +79,9 @@
     void sendEvent(String text) {
         startStream();
         ServerSentEvent.parse(text).id().ifPresent(id -> lastEventId = OptionalLong.of(id));
-        response().write(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)));
+        response()
+                .write(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)))
+                .onFailure(failure -> closeConnection());
     }
 
     /**
@@ -96,8 +98,12 @@
      * Sends a whole answer with the headers that the endpoint set.
      *
      * @param close whether to close the connection after it
+     * @throws IllegalStateException if a streamed answer has started
      */
     void sendWhole(int status, String text, boolean close) {
+        if (started) {
+            throw new IllegalStateException("whole answer after the beginning of a stream");
+        }
         response().setStatusCode(status);
         answerHead.ifPresent(newest -> newest.forwardHeaders(response().headers()));
         end(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)), close);
@@ -111,7 +117,7 @@
      */
     void refuse(RouterOutput.Refuse refusal, boolean close) {
         if (started) {
-            request.connection().close();
+            closeConnection();
             return;
         }
         int status = httpStatus(refusal.code(), refusal.runState());
@@ -126,6 +132,11 @@
         end(Buffer.buffer(Json.write(problem)), close);
     }
 
+    /** Closes the connection; an answer that has not ended looks incomplete to the caller. */
+    void closeConnection() {
+        request.connection().close();
+    }
+
     /** 503 promises that the request did not run; if that is not certain, it becomes 502. */
     private static int httpStatus(ResultCode code, RunState runState) {
         boolean promisesNotRun = code.httpStatus() == STATUS_UNAVAILABLE;
@@ -152,7 +163,9 @@
         }
         Future<Void> sent = response().end(last);
         if (close) {
-            sent.onComplete(done -> request.connection().close());
+            sent.onComplete(done -> closeConnection());
+        } else {
+            sent.onFailure(failure -> closeConnection());
         }
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -22,9 +22,12 @@
 import org.bramleylatch.edge.RandomIds;
 import org.bramleylatch.edge.RequestMetrics;
 import org.bramleylatch.platform.CallerRequestHead;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Serves callers over HTTP: passes their requests to the router and the router's answers back. */
 final class CallerServer {
+    private static final Logger LOG = LoggerFactory.getLogger(CallerServer.class);
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
 
     private final InstantSource clock;
@@ -89,22 +92,39 @@
                 .on(RouterOutput.DeliverTokens.class, this::deliver)
                 .on(
                         RouterOutput.FinishAnswer.class,
-                        end ->
-                                closeExchange(end.request())
-                                        .ifPresent(e -> e.endStream(isDraining())))
+                        end -> finish(end.request(), e -> e.endStream(isDraining())))
                 .on(
                         RouterOutput.DeliverServiceAnswer.class,
                         answer ->
-                                closeExchange(answer.request())
-                                        .ifPresent(
-                                                e ->
-                                                        e.sendWhole(
-                                                                answer.status(),
-                                                                answer.body(),
-                                                                isDraining())))
+                                finish(
+                                        answer.request(),
+                                        e ->
+                                                e.sendWhole(
+                                                        answer.status(),
+                                                        answer.body(),
+                                                        isDraining())))
                 .on(RouterOutput.Refuse.class, this::refuse);
     }
 
+    /** Writes the end of an answer; nothing follows to this caller. */
+    private void finish(RequestId id, Consumer<CallerExchange> end) {
+        closeExchange(id).ifPresent(exchange -> write(id, exchange, end));
+    }
+
+    /**
+     * Writes a part of an answer; closes the connection of a caller whose part can't be written.
+     */
+    private void write(RequestId id, CallerExchange exchange, Consumer<CallerExchange> part) {
+        try {
+            part.accept(exchange);
+        } catch (RuntimeException failure) {
+            LOG.error("answer of request={} could not be written, connection closed", id, failure);
+            closeExchange(id);
+            inbox.accept(new RouterInput.CallerDisconnected(id));
+            exchange.closeConnection();
+        }
+    }
+
     private void readRequest(HttpServerRequest request, Buffer body, long arrivedMillis) {
         try {
             CallerRequestHead head = CallerRequestHead.of(request);
@@ -132,7 +152,7 @@
         exchanges.put(id, exchange);
         metrics.setOpenRequests(exchanges.size());
         exchange.request().response().closeHandler(closed -> handleDisconnect(id));
-        exchange.request().response().exceptionHandler(failure -> handleDisconnect(id));
+        exchange.request().response().exceptionHandler(failure -> handleFailure(id, exchange));
         inbox.accept(new RouterInput.CallArrived(toCall(id, exchange)));
     }
 
@@ -158,6 +178,11 @@
                 .ifPresent(exchange -> inbox.accept(new RouterInput.CallerDisconnected(id)));
     }
 
+    private void handleFailure(RequestId id, CallerExchange exchange) {
+        handleDisconnect(id);
+        exchange.closeConnection();
+    }
+
     private Optional<CallerExchange> closeExchange(RequestId id) {
         Optional<CallerExchange> exchange = Optional.ofNullable(exchanges.remove(id));
         metrics.setOpenRequests(exchanges.size());
@@ -165,7 +190,9 @@
     }
 
     private void deliver(RouterOutput.DeliverTokens deliver) {
-        findExchange(deliver.request()).ifPresent(exchange -> deliver(exchange, deliver));
+        findExchange(deliver.request())
+                .ifPresent(
+                        e -> write(deliver.request(), e, exchange -> deliver(exchange, deliver)));
     }
 
     private void deliver(CallerExchange exchange, RouterOutput.DeliverTokens deliver) {
@@ -187,8 +214,7 @@
 
     private void refuse(RouterOutput.Refuse refuse) {
         metrics.countRefusal(refuse.code());
-        closeExchange(refuse.request())
-                .ifPresent(exchange -> exchange.refuse(refuse, isDraining()));
+        finish(refuse.request(), exchange -> exchange.refuse(refuse, isDraining()));
     }
 
     private boolean isDraining() {
