Read on behind a page whose consumer fails

An exception of a page's consumer counted as a failed read: the registry or the operator's stream was marked as unreachable although it answered, and the read was repeated, behind the page for a keyed stream, which had moved on, and for ever at the same place for the ledger, which had not. The follower logs the exception now and goes on; before the next read it waits for the longest retry pause, so that a consumer whose position stays does not spin. Evidence, before the change, in LogFollowerTest: "Expecting empty but was: [INTERNAL]".

--- a/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
@@ -11,6 +11,8 @@
 import java.util.function.LongFunction;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads a stream of the platform until cancelled. A failed read is retried with exponential
@@ -20,11 +22,13 @@
  * @param <P> the type of a page, the result of one read
  */
 public final class LogFollower<P> {
+    private static final Logger LOG = LoggerFactory.getLogger(LogFollower.class);
     private static final Duration FIRST_RETRY_PAUSE = Duration.ofMillis(50);
 
     private final LongFunction<CompletableFuture<P>> readPage;
     private final ReadPace pace;
     private long waitMillis;
+    private boolean handled = true;
 
     /**
      * Creates a follower that reads nothing yet.
@@ -41,7 +45,8 @@
     /**
      * Starts reading.
      *
-     * @param onPage receives each page before the next read begins
+     * @param onPage receives each page before the next read begins; if it fails, that is logged,
+     *     and reading goes on with the next page
      * @param onFailure receives the code of each failed read
      * @return a handle that stops the reading when cancelled
      */
@@ -52,7 +57,7 @@
                         .onItem()
                         .invoke(page -> waitMillis = pace.waitMillis())
                         .onItem()
-                        .invoke(onPage)
+                        .invoke(page -> hand(page, onPage))
                         .onItem()
                         .call(page -> pause())
                         .onFailure()
@@ -69,8 +74,21 @@
                 .with(p -> {});
     }
 
+    /** Hands a page over; its consumer's failure says nothing about the platform. */
+    private void hand(P page, Consumer<P> onPage) {
+        handled = false;
+        try {
+            onPage.accept(page);
+            handled = true;
+        } catch (RuntimeException | StackOverflowError failure) {
+            LOG.error("page could not be handled, reading goes on behind it", failure);
+        }
+    }
+
+    /** Waits before the next read, as a consumer that fails may not have moved its position. */
     private Uni<Void> pause() {
-        long pauseMillis = pace.pauseMillis().getAsLong();
+        long pauseMillis =
+                handled ? pace.pauseMillis().getAsLong() : pace.maxRetryPause().toMillis();
         Uni<Void> completed = Uni.createFrom().voidItem();
         return pauseMillis == 0
                 ? completed
