Wait for silent endpoints as long as their callers do, and probe them

A caller whose sound endpoint was silent for 1.4 s before its first event got 502 after 0.9 s if there was no other endpoint, and otherwise an answer of a second run of the same work. A request that may not be repeated was told of a dead endpoint only at its deadline. Cause: the router's own 900 ms and 1,000 ms decided that an endpoint was dead, whatever the route and the caller allow, and nothing but that silence was ever looked at.

Change, for routes that wait for silent endpoints; others keep the cut. After the silence timeouts the endpoint is probed (EndpointProbes, at most once a second, more rarely in a long silence, not while it answers others), in the same way as after a broken connection. A refused probe ends its silent attempts at once, an unreachable one those that can be made elsewhere, and the others after the second in a row, always as UNKNOWN. A silent connection is given up at the last moment at which another endpoint with a free place can meet the objective before the caller leaves (SilenceLimit); what streams allow comes from the platform's rule. A probe now waits for 1.3 s, longer than a retransmitted handshake: after 300 ms, one lost packet looked like a dead endpoint. EndpointProbed says CONNECTED, REFUSED, UNREACHABLE or NOT_TRIED instead of a boolean. ATTEMPT_SILENT and the rule in ATTEMPT_FAILED lead from an id to the end. A silence before the first token still counts as overload, once.

--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -34,6 +34,7 @@
                             "tokens missing before position " + arrived.position()));
         }
         world.attempts().put(row.id(), row.tokensReceived(arrived.tokens(), nowMillis));
+        new EndpointProbes(world, nowMillis).recordAnswer(row.endpoint());
         if (row.firstTokenLatencyMillis().isEmpty()) {
             recordStart(row);
         }
@@ -87,6 +88,7 @@
         }
         countForMove(attempt.get(), answered.status() < FIRST_SERVER_ERROR_STATUS);
         recordStart(attempt.get());
+        new EndpointProbes(world, nowMillis).recordAnswer(attempt.get().endpoint());
         world.endpoints()
                 .update(
                         attempt.get().endpoint(),
@@ -153,7 +155,7 @@
         return row.isPresent();
     }
 
-    /** Returns true if the endpoint was silent until the timeout or did not run the request. */
+    /** Returns true if the endpoint was silent until a timeout or did not run the request. */
     private static boolean isSignOfOverload(AttemptRow attempt, AttemptFailed failed) {
         return failed.cause() == AttemptFailed.Cause.OTHER
                 && attempt.firstTokenLatencyMillis().isEmpty()
--- a/core/src/main/java/org/bramleylatch/core/CrashDetection.java
+++ b/core/src/main/java/org/bramleylatch/core/CrashDetection.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.bramleylatch.core.RouterInput.AttemptFailed;
 import org.bramleylatch.core.RouterInput.EndpointProbed;
+import org.bramleylatch.core.RouterInput.EndpointProbed.Outcome;
 
 /**
  * Tells crashes of endpoints from other broken connections, and collects the prompts that were
@@ -41,11 +42,28 @@
         spec.promptParts().forEach(part -> world.crashTables().addClear(part, nowMillis));
     }
 
-    /** Confirms or drops a suspected crash after a new connection to the endpoint was tried. */
-    boolean applyProbe(EndpointProbed probed) {
-        Optional<CrashReport> report = world.crashTables().unconfirmed().remove(probed.endpoint());
-        report.ifPresent(found -> applyProbe(found, probed));
-        return report.isPresent();
+    /**
+     * Confirms or drops a suspected crash after a new connection to the endpoint was tried. A
+     * connection that was tried before the crash and accepted shows nothing.
+     */
+    void applyProbe(EndpointProbed probed, long sentMillis) {
+        Table<EndpointId, CrashReport> unconfirmed = world.crashTables().unconfirmed();
+        unconfirmed
+                .find(probed.endpoint())
+                .filter(
+                        report ->
+                                probed.outcome() == Outcome.REFUSED
+                                        || report.crashedMillis() <= sentMillis)
+                .ifPresent(
+                        report -> {
+                            unconfirmed.remove(probed.endpoint());
+                            applyProbe(report, probed);
+                        });
+    }
+
+    /** Returns true if connections to the endpoint broke and no later probe has shown why. */
+    boolean isUnconfirmed(EndpointId endpoint) {
+        return world.crashTables().unconfirmed().has(endpoint);
     }
 
     /** Adds what another router, or an earlier run of this one, has seen. */
@@ -79,16 +97,17 @@
                         .orElse(report);
         tables.unconfirmed().put(report.endpoint(), merged);
         if (!isProbed) {
-            world.send(new RouterOutput.ProbeEndpoint(report.endpoint()));
+            new EndpointProbes(world, nowMillis).probe(report.endpoint());
         }
     }
 
     private void applyProbe(CrashReport report, EndpointProbed probed) {
+        boolean isRefused = probed.outcome() == Outcome.REFUSED;
         world.note(
-                probed.refused() ? EventKind.ENDPOINT_CRASHED : EventKind.ENDPOINT_CONNECTION_RESET,
+                isRefused ? EventKind.ENDPOINT_CRASHED : EventKind.ENDPOINT_CONNECTION_RESET,
                 probed.endpoint(),
                 "unanswered parts=" + describe(report) + " probe=" + probed.detail());
-        if (probed.refused()) {
+        if (isRefused) {
             world.crashTables().addOwnCrash(withMostSuspect(report), nowMillis);
         }
     }
--- a/core/src/main/java/org/bramleylatch/core/EndpointRow.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -9,6 +9,7 @@
  * @param load the tokens that the endpoint holds, estimated, and this router's requests there
  * @param health the recent failures, which may eject the endpoint
  * @param concurrency the most concurrent requests of this router, by their success
+ * @param contact when this router last heard from the endpoint and probed it
  */
 public record EndpointRow(
         EndpointId id,
@@ -20,7 +21,8 @@
         LeavingSignals leavingSignals,
         EndpointLoad load,
         EndpointHealth health,
-        ConcurrencyLimit concurrency) {
+        ConcurrencyLimit concurrency,
+        EndpointContact contact) {
     private static final int OVERCOMMIT = 2;
     private static final int MIN_SLOTS = 4;
 
@@ -37,7 +39,8 @@
                 LeavingSignals.none(),
                 EndpointLoad.none(),
                 EndpointHealth.healthy(),
-                ConcurrencyLimit.unlimited());
+                ConcurrencyLimit.unlimited(),
+                EndpointContact.none());
     }
 
     /**
@@ -116,7 +119,8 @@
                 leavingSignals,
                 load,
                 health,
-                concurrency);
+                concurrency,
+                contact);
     }
 
     /** Returns the endpoint after it started to answer an attempt within its latency objective. */
@@ -140,7 +144,8 @@
                 leavingSignals,
                 load,
                 health,
-                newLimit);
+                newLimit,
+                contact);
     }
 
     /** Returns the endpoint after it reported the tokens that it holds for all routers. */
@@ -158,7 +163,24 @@
                                 listing.leavingSignals.listedAsLeaving()),
                         load,
                         health)
-                .withConcurrency(concurrency);
+                .withConcurrency(concurrency)
+                .withContact(contact);
+    }
+
+    /** Returns the endpoint with the given latest contact. */
+    EndpointRow withContact(EndpointContact latest) {
+        return new EndpointRow(
+                id,
+                backEnd,
+                zone,
+                version,
+                memoryTokens,
+                slots,
+                leavingSignals,
+                load,
+                health,
+                concurrency,
+                latest);
     }
 
     private EndpointRow with(
@@ -173,6 +195,7 @@
                 latest,
                 newLoad,
                 newHealth,
-                concurrency);
+                concurrency,
+                contact);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -11,6 +11,8 @@
     ATTEMPT_STARTED,
     ATTEMPT_ENDED,
     ATTEMPT_FAILED,
+    /** An endpoint has sent nothing for an attempt for a while; whether it is probed. */
+    ATTEMPT_SILENT,
     /** An attempt was cancelled to free its endpoint while the caller does not read. */
     ATTEMPT_PARKED,
     /** An endpoint broke attempts off and then refused a connection. */
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -108,6 +108,39 @@
         return accepting.isEmpty() ? ofOldVersion : accepting;
     }
 
+    /**
+     * Returns true if an endpoint that has not failed the request would take it at once, even after
+     * those that are queued for the same back end.
+     *
+     * @param except the endpoint that the request would leave
+     */
+    static boolean hasPlaceElsewhere(
+            RouterWorld world, RequestRow row, EndpointId except, long nowMillis) {
+        if (QuarantineSystem.findBlocking(world, row, nowMillis).isPresent()) {
+            return false;
+        }
+        List<EndpointRow> accepting = world.candidates(row, nowMillis);
+        List<EndpointRow> possible =
+                accepting.isEmpty() ? world.oldVersionCandidates(row, nowMillis) : accepting;
+        RateLimits rateLimits = new RateLimits(world, nowMillis);
+        long worstCaseTokens = row.spec().worstCaseTokens();
+        long free =
+                possible.stream()
+                        .filter(e -> !e.id().equals(except))
+                        .filter(e -> !row.failedEndpoints().contains(e.id()))
+                        .filter(e -> e.hasCapacityFor(worstCaseTokens, world.routerCount()))
+                        .filter(e -> rateLimits.allows(e.id()))
+                        .count();
+        return countQueued(world, row.spec().backEnd()) < free;
+    }
+
+    private static long countQueued(RouterWorld world, String backEnd) {
+        return world.queuedRequests().stream()
+                .flatMap(id -> world.requests().find(id).stream())
+                .filter(row -> row.spec().backEnd().equals(backEnd))
+                .count();
+    }
+
     private void start(RouterWorld world, RequestRow row, EndpointRow endpoint, long nowMillis) {
         new RateLimits(world, nowMillis).countRequest(endpoint.id());
         AttemptId attempt = world.newAttemptId();
--- a/core/src/main/java/org/bramleylatch/core/RequestCompletion.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestCompletion.java
@@ -119,6 +119,7 @@
                                                         row.worstCaseTokens(),
                                                         row.unprocessedPromptTokens())));
         world.timers().clear(new RouterTimer.AttemptSilenceCheck(id));
+        world.silences().remove(id);
         return attempt;
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -83,7 +83,9 @@
                 .on(EndpointWithdrawn.class, registry::applyWithdrawal)
                 .on(EndpointReplaced.class, replaced -> registry.remove(replaced.endpoint()))
                 .on(RegistryReachabilityReported.class, registry::applyReachability)
-                .on(EndpointProbed.class, new CrashDetection(world, nowMillis)::applyProbe)
+                .on(
+                        EndpointProbed.class,
+                        new SilenceDetection(world, limits, nowMillis)::applyProbe)
                 .on(RateLimitObserved.class, new RateLimits(world, nowMillis)::applyObservation);
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -115,6 +115,8 @@
             NOT_CONNECTED,
             /** The endpoint closed or reset the connection before the answer was complete. */
             CONNECTION_LOST,
+            /** The connection is open but nothing came; counted as overload when noticed. */
+            SILENT,
             /** The connection is not the cause. */
             OTHER
         }
@@ -130,13 +132,22 @@
         }
     }
 
-    /**
-     * Reports the outcome of a new connection to an endpoint.
-     *
-     * @param refused true if nothing listens at the endpoint's address any more
-     */
-    record EndpointProbed(EndpointId endpoint, boolean refused, String detail)
-            implements RouterInput {}
+    /** Reports the outcome of a probe, which tries a new connection to an endpoint. */
+    record EndpointProbed(EndpointId endpoint, Outcome outcome, String detail)
+            implements RouterInput {
+
+        /** Lists what a new connection can show. */
+        public enum Outcome {
+            /** The connection was accepted. */
+            CONNECTED,
+            /** Nothing listens at the endpoint's address any more. */
+            REFUSED,
+            /** Nothing came back within the timeout, or there is no path to the address. */
+            UNREACHABLE,
+            /** The connection could not be tried, which says nothing about the endpoint. */
+            NOT_TRIED
+        }
+    }
 
     /**
      * Reports the limit that an endpoint names in an answer.
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -9,8 +9,9 @@
  * @param maxQueuedRequests the maximum number of requests that wait for an endpoint
  * @param maxAttempts the maximum number of attempts of one request
  * @param reserveTimeoutMillis the timeout of a reservation at a keeper
- * @param firstTokenTimeoutMillis how long an endpoint may take until the first token
- * @param stallTimeoutMillis how long an endpoint may be silent after the first token
+ * @param firstTokenTimeoutMillis how long an endpoint may take until the first token; on a route
+ *     that waits for silent endpoints, when to look for the cause
+ * @param stallTimeoutMillis how long an endpoint may be silent after the first token; likewise
  * @param usageHoldTimeoutMillis how long the end of an answer is delayed until a keeper holds its
  *     usage
  * @param pauseTimeoutMillis how long a paused attempt keeps running at its endpoint
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -115,28 +115,34 @@
             park(world, row);
         } else if (nowMillis < dueMillis) {
             world.timers().set(new AttemptSilenceCheck(row.id()), dueMillis);
-        } else if (keepsWaiting(world, row, nowMillis)) {
-            world.timers().set(new AttemptSilenceCheck(row.id()), nowMillis + timeoutMillis);
         } else {
-            world.inbox()
-                    .add(
-                            new RouterInput.AttemptFailed(
-                                    row.id(),
-                                    RunState.UNKNOWN,
-                                    "no data from the endpoint within the timeout"));
+            waitingRequest(world, row)
+                    .ifPresentOrElse(
+                            request ->
+                                    new SilenceDetection(world, limits, nowMillis)
+                                            .check(row, request, timeoutMillis),
+                            () -> failSilent(world, row));
         }
     }
 
+    private static void failSilent(RouterWorld world, AttemptRow row) {
+        world.inbox()
+                .add(
+                        new RouterInput.AttemptFailed(
+                                row.id(),
+                                RunState.UNKNOWN,
+                                "no data from the endpoint within the timeout"));
+    }
+
     private long silenceTimeoutMillis(AttemptRow row) {
         boolean hasProgress = row.lastProgressMillis() > row.startedMillis();
         return hasProgress ? limits.stallTimeoutMillis() : limits.firstTokenTimeoutMillis();
     }
 
-    /** Returns true if the route waits for silent endpoints and the request can't be retried. */
-    private boolean keepsWaiting(RouterWorld world, AttemptRow row, long nowMillis) {
-        Optional<RequestRow> request = world.requests().find(row.request());
-        return request.filter(found -> found.spec().route().options().waitsForSilentEndpoint())
-                .filter(found -> !Retries.allows(world, limits, found, true, nowMillis))
-                .isPresent();
+    /** Returns the attempt's request if its route waits for silent endpoints. */
+    private static Optional<RequestRow> waitingRequest(RouterWorld world, AttemptRow row) {
+        return world.requests()
+                .find(row.request())
+                .filter(found -> found.spec().route().options().waitsForSilentEndpoint());
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -28,6 +28,7 @@
     private final Table<EndpointId, EndpointLimit> ownLimits = Table.empty();
     private final Table<DemandSource, Double> demands = Table.empty();
     private final Table<LimitSource, EndpointLimit> heardLimits = Table.empty();
+    private final Table<AttemptId, SilenceRow> silences = Table.empty();
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
@@ -195,6 +196,11 @@
         return heardLimits;
     }
 
+    /** Returns the latest silence of each running attempt that had one. */
+    Table<AttemptId, SilenceRow> silences() {
+        return silences;
+    }
+
     /** Returns what is known about prompts that crash endpoints. */
     CrashTables crashTables() {
         return crashTables;
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/SilenceLimit.java
@@ -0,0 +1,65 @@
+package org.bramleylatch.core;
+
+/**
+ * Tells how long the endpoint of an attempt may be silent, by the request's route and its caller.
+ * The attempt may be given up at the last moment at which another one can still answer the caller
+ * within the latency objective, and only for a short time then: later, waiting is the better
+ * chance. A route without an objective has no such moment.
+ *
+ * @param noticedMillis when the silence is long enough to look for its cause
+ * @param retryMillis when another attempt must start at the latest to meet the objective
+ * @param retryEndMillis when too little time is left for another attempt
+ * @param endMillis when the caller leaves
+ */
+record SilenceLimit(long noticedMillis, long retryMillis, long retryEndMillis, long endMillis) {
+    /** How often a retry that is due but finds no free endpoint is tried again. */
+    private static final long RETRY_INTERVAL_MILLIS = 100;
+
+    /** An attempt that has less than half of the latency objective can hardly answer in time. */
+    private static final int MIN_TIME_DIVISOR = 2;
+
+    /**
+     * Returns the limit of a silence.
+     *
+     * @param silentSinceMillis when the attempt last made progress
+     * @param noticeAfterMillis how long a silence is ignored
+     */
+    static SilenceLimit of(RequestSpec spec, long silentSinceMillis, long noticeAfterMillis) {
+        RouteOptions options = spec.route().options();
+        long endMillis =
+                options.callerPatienceMillis()
+                        .map(patienceMillis -> silentSinceMillis + patienceMillis)
+                        .filter(leavesMillis -> leavesMillis < spec.deadlineMillis())
+                        .orElse(spec.deadlineMillis());
+        long targetLatencyMillis = options.targetLatencyMillis();
+        return new SilenceLimit(
+                silentSinceMillis + noticeAfterMillis,
+                endMillis - targetLatencyMillis,
+                endMillis - targetLatencyMillis / MIN_TIME_DIVISOR,
+                endMillis);
+    }
+
+    /** Returns true if the attempt may be given up now, provided that another one can start. */
+    boolean allowsRetry(long nowMillis) {
+        return hasRetryMoment() && retryMillis <= nowMillis && nowMillis < retryEndMillis;
+    }
+
+    /**
+     * Returns when to check the attempt again.
+     *
+     * @param intervalMillis the time between checks that find no retry due
+     */
+    long nextCheckMillis(long nowMillis, long intervalMillis) {
+        long nextMillis = nowMillis + intervalMillis;
+        if (allowsRetry(nowMillis)) {
+            return nowMillis + RETRY_INTERVAL_MILLIS;
+        }
+        return hasRetryMoment() && nowMillis < retryMillis
+                ? Math.min(nextMillis, retryMillis)
+                : nextMillis;
+    }
+
+    private boolean hasRetryMoment() {
+        return noticedMillis <= retryMillis;
+    }
+}
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.bramleylatch.core.RouterInput.EndpointProbed.Outcome;
 
 /**
  * Drives several routers in virtual time, each with a keeper in its process that relays its
@@ -164,7 +165,9 @@
                                 receive(
                                         vm,
                                         new RouterInput.EndpointProbed(
-                                                probe.endpoint(), endpointEnded, "test")));
+                                                probe.endpoint(),
+                                                endpointEnded ? Outcome.REFUSED : Outcome.CONNECTED,
+                                                "test")));
     }
 
     /** Lists the endpoint with a single slot. */
@@ -264,7 +267,7 @@
                                 receive(
                                         vm,
                                         new RouterInput.EndpointProbed(
-                                                probe.endpoint(), true, "refused")));
+                                                probe.endpoint(), Outcome.REFUSED, "refused")));
     }
 
     private void completeAnswers(String vm) {
--- a/core/src/test/java/org/bramleylatch/core/RouterHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterHarness.java
@@ -75,6 +75,26 @@
         return key;
     }
 
+    /** Lets a request that needs no tokens arrive, whose caller waits for the given time. */
+    RequestId arriveWithin(RouteRow route, long timeoutMillis, String... parts) {
+        count++;
+        RequestId id = RequestId.of("request-" + count);
+        receive(
+                new RouterInput.RequestArrived(
+                        new RequestSpec(
+                                id,
+                                RequestKey.of(nowMillis, count),
+                                true,
+                                BudgetId.NONE,
+                                route,
+                                0,
+                                0,
+                                7,
+                                nowMillis + timeoutMillis,
+                                new RequestTraits(50, List.of(parts), 0, false))));
+        return id;
+    }
+
     /** Lets a call arrive; the router finds its route and member in the configuration. */
     RequestId call(
             String host,
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/SilenceLimitTest.java
@@ -0,0 +1,105 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class SilenceLimitTest {
+    private static final long NOTICE_AFTER_MILLIS = 900;
+
+    @Test
+    void theCallersPatienceCountsFromTheLastProgress() {
+        SilenceLimit limit = limit(Optional.of(2_000L), 400, 10_000, 5_000);
+        assertThat(limit).isEqualTo(new SilenceLimit(5_900, 6_600, 6_800, 7_000));
+    }
+
+    @Test
+    void theDeadlineEndsTheWaitOfACallerWhoWouldBePatientForLonger() {
+        assertThat(limit(Optional.of(2_000L), 400, 6_000, 5_000).endMillis()).isEqualTo(6_000);
+    }
+
+    @Test
+    void aCallerWithoutAPatienceOfItsOwnWaitsUntilTheDeadline() {
+        assertThat(limit(Optional.empty(), 400, 10_000, 5_000).retryMillis()).isEqualTo(9_600);
+    }
+
+    @Test
+    void aRetryIsAllowedOnlyWhileItCanAnswerInTime() {
+        SilenceLimit limit = limit(Optional.of(2_000L), 400, 10_000, 0);
+        assertThat(limit.allowsRetry(1_599)).isFalse();
+        assertThat(limit.allowsRetry(1_600)).isTrue();
+        assertThat(limit.allowsRetry(1_799)).isTrue();
+        assertThat(limit.allowsRetry(1_800)).isFalse();
+    }
+
+    @Test
+    void aRetryThatWouldHaveBeenDueBeforeTheSilenceIsNoticedIsNotMade() {
+        SilenceLimit limit = limit(Optional.empty(), 400, 1_299, 0);
+        for (long nowMillis = 0; nowMillis < 1_300; nowMillis++) {
+            assertThat(limit.allowsRetry(nowMillis)).isFalse();
+        }
+    }
+
+    @Test
+    void aRouteWithoutAnObjectiveNeverGivesAnAttemptUp() {
+        SilenceLimit limit = limit(Optional.of(2_000L), 0, 10_000, 0);
+        for (long nowMillis = 0; nowMillis < 3_000; nowMillis++) {
+            assertThat(limit.allowsRetry(nowMillis)).isFalse();
+        }
+    }
+
+    @Test
+    void theNextCheckIsAtTheLatestWhenTheRetryIsDue() {
+        SilenceLimit limit = limit(Optional.of(2_000L), 400, 10_000, 0);
+        assertThat(limit.nextCheckMillis(100, 900)).isEqualTo(1_000);
+        assertThat(limit.nextCheckMillis(900, 900)).isEqualTo(1_600);
+        assertThat(limit.nextCheckMillis(1_600, 900)).isEqualTo(1_700);
+        assertThat(limit.nextCheckMillis(1_800, 900)).isEqualTo(2_700);
+    }
+
+    private static SilenceLimit limit(
+            Optional<Long> patienceMillis,
+            long targetLatencyMillis,
+            long deadlineMillis,
+            long silentSinceMillis) {
+        RouteOptions options =
+                new RouteOptions(
+                        Optional.empty(),
+                        true,
+                        false,
+                        true,
+                        true,
+                        false,
+                        2,
+                        0,
+                        0,
+                        targetLatencyMillis,
+                        List.of(),
+                        patienceMillis);
+        RouteRow route =
+                new RouteRow(
+                        RouteName.of("route"),
+                        RouteKind.SERVICE,
+                        "/route/",
+                        "ordnerei",
+                        true,
+                        0,
+                        List.of(),
+                        Optional.of(options));
+        return SilenceLimit.of(
+                new RequestSpec(
+                        RequestId.of("request"),
+                        RequestKey.of(0, 1),
+                        true,
+                        BudgetId.NONE,
+                        route,
+                        0,
+                        0,
+                        0,
+                        deadlineMillis),
+                silentSinceMillis,
+                NOTICE_AFTER_MILLIS);
+    }
+}
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -9,6 +9,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import java.net.ConnectException;
+import java.net.NoRouteToHostException;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
@@ -21,6 +22,7 @@
 import org.bramleylatch.core.RequestId;
 import org.bramleylatch.core.RequestSpec;
 import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.core.RouterInput.EndpointProbed.Outcome;
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.platform.EndpointEntry;
@@ -34,6 +36,12 @@
      */
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
+    /**
+     * Longer than TCP takes to retransmit a lost packet of the handshake, so that neither a single
+     * lost packet nor a path that is silent for a second makes an endpoint look dead.
+     */
+    private static final int PROBE_TIMEOUT_MILLIS = 1_300;
+
     private static final int MAX_CONNECTIONS = 128;
     private static final int KEEP_ALIVE_SECONDS = 5;
 
@@ -84,7 +92,7 @@
         this.singleUseClient = vertx.createHttpClient(clientOptions().setKeepAlive(false), pool);
         this.probeClient =
                 vertx.createNetClient(
-                        new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+                        new NetClientOptions().setConnectTimeout(PROBE_TIMEOUT_MILLIS));
     }
 
     /** Starts an attempt; reports it as not run if its caller, request or endpoint is unknown. */
@@ -122,14 +130,11 @@
         Optional.ofNullable(calls.remove(cancel.attempt())).ifPresent(EndpointCall::cancel);
     }
 
-    /**
-     * Opens a connection to an endpoint and closes it again. Only a refused connection shows that
-     * the endpoint has ended; behind a network partition, the connection times out.
-     */
+    /** Opens a connection to an endpoint and closes it again, and reports the outcome. */
     void probeEndpoint(RouterOutput.ProbeEndpoint probe) {
         Optional<EndpointEntry> entry = registry.apply(probe.endpoint());
         if (entry.isEmpty()) {
-            reportProbe(probe, false, "address unknown");
+            reportProbe(probe, Outcome.NOT_TRIED, "address unknown");
             return;
         }
         probeClient
@@ -137,17 +142,26 @@
                 .onSuccess(
                         socket -> {
                             socket.close();
-                            reportProbe(probe, false, "connected");
+                            reportProbe(probe, Outcome.CONNECTED, "connected");
                         })
-                .onFailure(failure -> reportProbe(probe, isRefused(failure), failure.getMessage()));
+                .onFailure(failure -> reportProbe(probe, outcomeOf(failure), failure.getMessage()));
     }
 
-    private void reportProbe(RouterOutput.ProbeEndpoint probe, boolean refused, String detail) {
-        inbox.accept(new RouterInput.EndpointProbed(probe.endpoint(), refused, detail));
+    private void reportProbe(RouterOutput.ProbeEndpoint probe, Outcome outcome, String detail) {
+        inbox.accept(new RouterInput.EndpointProbed(probe.endpoint(), outcome, detail));
     }
 
-    private static boolean isRefused(Throwable failure) {
-        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+    /**
+     * Returns what a failed connection shows. Only a refused one shows that the endpoint has ended;
+     * behind a network partition, it times out. Other failures, such as a lack of file descriptors,
+     * are this process's own.
+     */
+    static Outcome outcomeOf(Throwable failure) {
+        if (failure instanceof ConnectTimeoutException
+                || failure instanceof NoRouteToHostException) {
+            return Outcome.UNREACHABLE;
+        }
+        return failure instanceof ConnectException ? Outcome.REFUSED : Outcome.NOT_TRIED;
     }
 
     /** Pauses or resumes reading an answer. */
