Keep error texts and second heads out of streams

Callers found an error's text, at times the whole head of another answer, between the events of their stream, and the stream could end as complete after it.

Cause: whatever stood between two empty lines counted as an event without an id and was forwarded. Where an answer ends with its connection, nothing else separates its events from what a failing endpoint writes behind them; the same holds for a text inside a chunk.

Before the change, StreamResumptionTest.bytesThatAreNoEventNeverReachTheCaller failed in all of its cases, for example with "id: 1 data: word HTTP/1.1 500 Oops content-type: text/plain failed" in place of the second event, also where an "id: 2" followed the head, and with "upstream failed" and {"failed": true}.

Change: a block that is neither an event nor a comment by the format's own rules fails the attempt, which is then resumed after the last event. Unknown fields beside a known one, and comments, pass as before.

Measured: the class passes, with streams shorter than their length, refusals after the first event and another head in place of a chunk, which were right before; all tests of core, wire, edge, platform and gateway pass.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -167,6 +167,10 @@
         if (finished) {
             return;
         }
+        if (!event.isWellFormed()) {
+            fail(RunState.RAN, "sent " + event.text().length() + " bytes that are no event");
+            return;
+        }
         long skippedEvents = 0;
         if (event.id().isPresent() && lastEventId.isPresent()) {
             skippedEvents = event.id().getAsLong() - lastEventId.getAsLong() - 1;
--- a/gateway/src/test/java/org/bramleylatch/gateway/EventSplitterTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EventSplitterTest.java
@@ -35,4 +35,35 @@
         assertThat(ServerSentEvent.parse("data: id: 4\n\n").id()).isEmpty();
         assertThat(ServerSentEvent.parse("id: four\n\n").id()).isEmpty();
     }
+
+    @Test
+    void fieldsAndCommentsAreWellFormed() {
+        List.of(
+                        "weights-versions:3\nid: 1\ndata: HTTP/1.1 500 Oops\n\n",
+                        "event: end\r\ndata\n\n",
+                        "\nid: 1\ndata: x\n\n",
+                        "data: a\rb\n\n",
+                        ": ping\n\n",
+                        "\n\n")
+                .forEach(
+                        text ->
+                                assertThat(ServerSentEvent.parse(text).isWellFormed())
+                                        .as(text)
+                                        .isTrue());
+    }
+
+    @Test
+    void errorTextsAndHeadsAreNotWellFormed() {
+        List.of(
+                        "HTTP/1.1 500 Oops\nid: 1\ndata: x\n\n",
+                        "data: woHTTP/1.1 500 Oops\r\nserver: x\r\n\r\nfailed\n\n",
+                        "upstream failed\n\n",
+                        "error: failed\n\n",
+                        "{\"data\": 1}\n\n")
+                .forEach(
+                        text ->
+                                assertThat(ServerSentEvent.parse(text).isWellFormed())
+                                        .as(text)
+                                        .isFalse());
+    }
 }
