Continue a stream only with the events that follow its last one

Callers could get a stream whose parts came from two runs, or one that ended as complete although events were missing.

Cause: an endpoint that starts over in spite of Last-Event-Id sends events that the caller has. A resumed run whose first event has no id was appended unchecked. A resumed answer without length or chunks that closed before its first event counted as the end; only that of a new stream did not.

Change: the first event of a resumed run must be the successor of the caller's last one, else the attempt fails and the next is asked. A connection that closes before the run's first event ends no answer. Comments do not hide the last id any more, so that a repeat behind one is noticed.

Ruled out: dropping repeats at the start of a run, which is right only if both runs are equal.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -29,6 +29,7 @@
     private Optional<HttpClientResponse> response = Optional.empty();
     private OptionalLong lastEventId;
     private long deliveredTokens;
+    private boolean hasEvent;
     private long bufferedBytes;
     private boolean finished;
 
@@ -149,7 +150,7 @@
                     RunState.RAN,
                     "answer ended within an event",
                     endsWithConnection ? Cause.CONNECTION_LOST : Cause.OTHER);
-        } else if (endsWithConnection && deliveredTokens == 0) {
+        } else if (endsWithConnection && !hasEvent) {
             loseConnection("connection closed before the first event");
         } else if (!finished) {
             finished = true;
@@ -171,13 +172,17 @@
             fail(RunState.RAN, "sent " + event.text().length() + " bytes that are no event");
             return;
         }
-        long skippedEvents = 0;
-        if (event.id().isPresent() && lastEventId.isPresent()) {
-            skippedEvents = event.id().getAsLong() - lastEventId.getAsLong() - 1;
+        if (!continuesAnswer(event)) {
+            fail(RunState.RAN, "does not go on after event " + lastEventId.getAsLong());
+            return;
         }
+        long skippedEvents = skippedEvents(event);
         long firstTokenPosition = deliveredTokens + skippedEvents * tokensPerEvent;
         if (skippedEvents == 0) {
             deliveredTokens += tokensPerEvent;
+        }
+        if (skippedEvents == 0 && !event.isComment()) {
+            hasEvent = true;
             lastEventId = event.id();
         }
         inbox.accept(
@@ -185,6 +190,24 @@
                         attempt, firstTokenPosition, tokensPerEvent, event.text()));
     }
 
+    /**
+     * Returns false if the event is the first one of a resumed answer and not the successor of the
+     * caller's last event. A run that starts over may differ from the earlier one, so that its
+     * later events can't follow either.
+     */
+    private boolean continuesAnswer(ServerSentEvent event) {
+        return hasEvent
+                || event.isComment()
+                || lastEventId.isEmpty()
+                || event.id().equals(OptionalLong.of(lastEventId.getAsLong() + 1));
+    }
+
+    private long skippedEvents(ServerSentEvent event) {
+        return event.id().isPresent() && lastEventId.isPresent()
+                ? event.id().getAsLong() - lastEventId.getAsLong() - 1
+                : 0;
+    }
+
     private void readWhole(HttpClientResponse answer) {
         int status = answer.statusCode();
         Buffer body = Buffer.buffer();
--- a/gateway/src/test/java/org/bramleylatch/gateway/StreamResumptionTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/StreamResumptionTest.java
@@ -45,6 +45,28 @@
         assertIsComplete(received, FIRST + ": ping\n\n" + SECOND);
     }
 
+    @Test
+    void aResumedRunWhoseFirstEventHasNoIdDoesNotContinueTheStream() throws Exception {
+        RawCaller.Received received =
+                callStory(
+                        CHUNKED + StreamText.chunk(FIRST),
+                        CHUNKED + StreamText.chunk(WITHOUT_ID) + StreamText.LAST_CHUNK,
+                        SECOND_AND_END);
+        assertIsComplete(received, FIRST + SECOND);
+    }
+
+    @Test
+    void aRunThatStartsOverDoesNotContinueTheStream() throws Exception {
+        RawCaller.Received received =
+                callStory(
+                        CHUNKED + StreamText.chunk(FIRST),
+                        CHUNKED
+                                + StreamText.chunk(FIRST + "id: 2\ndata: other\n\n")
+                                + StreamText.LAST_CHUNK,
+                        SECOND_AND_END);
+        assertIsComplete(received, FIRST + SECOND);
+    }
+
     @Test
     void aRefusalAfterTheFirstEventLetsTheNextEndpointContinueTheStream() throws Exception {
         RawCaller.Received received =
@@ -108,6 +130,13 @@
         assertThat(call().events()).isEqualTo(SECOND);
     }
 
+    @Test
+    void aResumedStreamThatClosesBeforeAnyEventIsNotTheEndOfTheAnswer() throws Exception {
+        RawCaller.Received received =
+                callStory(CHUNKED + StreamText.chunk(FIRST), UNFRAMED, SECOND_AND_END);
+        assertIsComplete(received, FIRST + SECOND);
+    }
+
     @Test
     void aStreamThatSkipsAnEventIsResumedBeforeTheGap() throws Exception {
         RawCaller.Received received =
