Break a stream off, rather than run it again, if its last event has no id

Callers of a resumable stream got its events twice when it broke off after events without a numeric id.

Cause: such a stream has no Last-Event-Id, so that the next endpoint was asked for the whole answer, whose first event was taken for the one after the last position. Behind an event without an id, the id of an earlier event was sent, and what lay between came twice.

Before the change, StreamResumptionTest failed in two cases, a stream without ids and one whose last event has none: "[closed] Expecting value to be true but was false", as the answer went on with a second run.

Change: the edge says with each event whether another attempt can continue after it, the request keeps the last word on that, and Retries asks it. The stream ends with ANSWER_INCOMPLETE and a closed connection. A comment changes nothing.

--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -44,7 +44,9 @@
                             e -> e.firstTokenReceived(row.unprocessedPromptTokens()));
         }
         world.requests()
-                .update(row.request(), request -> request.tokensDelivered(arrived.tokens()));
+                .update(
+                        row.request(),
+                        request -> request.tokensDelivered(arrived.tokens(), arrived.resumable()));
         world.send(new RouterOutput.DeliverTokens(row.request(), arrived.text()));
         return true;
     }
--- a/core/src/main/java/org/bramleylatch/core/RequestRow.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestRow.java
@@ -13,6 +13,7 @@
  * @param attemptCount the number of attempts that count against the limit: not those that were
  *     parked or that are known not to have run
  * @param deliveredTokens how many tokens were delivered to the caller
+ * @param resumable false if no other attempt can continue the answer after the delivered tokens
  * @param runState what is known about whether an endpoint ran the request
  * @param failedEndpoints the endpoints that failed and are not tried again while there are others
  * @param latestEndpoint the endpoint of the latest attempt; unless the route allows resumption
@@ -26,6 +27,7 @@
         Optional<AttemptId> attempt,
         int attemptCount,
         long deliveredTokens,
+        boolean resumable,
         RunState runState,
         Set<EndpointId> failedEndpoints,
         Optional<EndpointId> latestEndpoint) {
@@ -61,6 +63,7 @@
                 Optional.empty(),
                 0,
                 0,
+                true,
                 RunState.NOT_RUN,
                 Set.of(),
                 Optional.empty());
@@ -106,6 +109,7 @@
                 Optional.of(newAttempt),
                 attemptCount + 1,
                 deliveredTokens,
+                resumable,
                 newRunState,
                 failedEndpoints,
                 Optional.of(endpoint));
@@ -113,14 +117,27 @@
 
     /** Returns the request after the given number of tokens was sent to the caller. */
     public RequestRow tokensDelivered(long tokens) {
-        return with(
+        return tokensDelivered(tokens, true);
+    }
+
+    /**
+     * Returns the request after tokens were sent to the caller.
+     *
+     * @param isResumable whether another attempt can continue the answer after them
+     */
+    public RequestRow tokensDelivered(long tokens, boolean isResumable) {
+        return new RequestRow(
+                spec,
                 stage,
                 keeper,
                 grant,
                 attempt,
                 attemptCount,
                 deliveredTokens + tokens,
-                RunState.RAN);
+                isResumable,
+                RunState.RAN,
+                failedEndpoints,
+                latestEndpoint);
     }
 
     /**
@@ -160,6 +177,7 @@
                 Optional.empty(),
                 countsAsAttempt ? attemptCount : attemptCount - 1,
                 deliveredTokens,
+                resumable,
                 newRunState,
                 newFailedEndpoints,
                 latestEndpoint);
@@ -181,6 +199,7 @@
                 newAttempt,
                 newAttemptCount,
                 newDeliveredTokens,
+                resumable,
                 newRunState,
                 failedEndpoints,
                 latestEndpoint);
--- a/core/src/main/java/org/bramleylatch/core/Retries.java
+++ b/core/src/main/java/org/bramleylatch/core/Retries.java
@@ -14,8 +14,9 @@
     }
 
     /**
-     * Returns true if the request may be sent to an endpoint again: it is repeatable or has not
-     * run, and neither its attempts nor the back end's retry allowance is used up.
+     * Returns true if the request may be sent to an endpoint again: it is repeatable and its answer
+     * can be continued, or it has not run, and neither its attempts nor the back end's retry
+     * allowance is used up.
      *
      * @param connected false if the last attempt never reached its endpoint; such a retry needs no
      *     allowance
@@ -26,7 +27,9 @@
             RequestRow row,
             boolean connected,
             long nowMillis) {
-        boolean isSafe = row.spec().route().repeatable() || row.runState() == RunState.NOT_RUN;
+        boolean isSafe =
+                row.spec().route().repeatable() && row.resumable()
+                        || row.runState() == RunState.NOT_RUN;
         int maxAttempts =
                 Math.min(limits.maxAttempts(), row.spec().route().options().maxAttempts());
         return isSafe
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -91,9 +91,20 @@
     /** Reports that the usage of a request was read back from the log. */
     record UsageDurable(RequestKey key) implements RouterInput {}
 
-    /** Carries tokens of an answer, of which the first has the given position. */
-    record TokensArrived(AttemptId attempt, long position, long tokens, String text)
-            implements RouterInput {}
+    /**
+     * Carries tokens of an answer, of which the first has the given position.
+     *
+     * @param resumable false if no other attempt can continue the answer after them
+     */
+    record TokensArrived(
+            AttemptId attempt, long position, long tokens, String text, boolean resumable)
+            implements RouterInput {
+
+        /** Makes tokens after which another attempt can continue the answer. */
+        public TokensArrived(AttemptId attempt, long position, long tokens, String text) {
+            this(attempt, position, tokens, text, true);
+        }
+    }
 
     /** Reports the end marker of a streamed answer of {@code position} tokens. */
     record AnswerEnded(AttemptId attempt, long position, String reason) implements RouterInput {}
--- a/core/src/test/java/org/bramleylatch/core/BegunStreamTest.java
+++ b/core/src/test/java/org/bramleylatch/core/BegunStreamTest.java
@@ -50,6 +50,17 @@
                 .containsExactly(404);
     }
 
+    /** Guards against events that come twice, as a new run can't be told where to go on. */
+    @Test
+    void aStreamThatCannotBeResumedIsBrokenOffWithItsFirstAttempt() {
+        AttemptId attempt = router.startChat(100, 50);
+        router.receive(new RouterInput.TokensArrived(attempt, 0, 1, "word ", false));
+        router.receive(new RouterInput.AttemptFailed(attempt, RunState.RAN, "broken"));
+        assertThat(router.outputs(StartAttempt.class)).hasSize(1);
+        assertThat(router.lastOutput(Refuse.class).orElseThrow().code())
+                .isEqualTo(ResultCode.ANSWER_INCOMPLETE);
+    }
+
     /** Breaks a chat off after its first token and returns the attempt that continues it. */
     private AttemptId resumeAfterFirstToken() {
         AttemptId attempt = router.startChat(100, 50);
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -61,7 +61,7 @@
         return started;
     }
 
-    /** Returns the id of the last event that was sent; empty if no event with a numeric id was. */
+    /** Returns the id of the last event that was sent; empty if there is none or it has no id. */
     OptionalLong lastEventId() {
         return lastEventId;
     }
@@ -78,7 +78,10 @@
     /** Sends an event, after the status and headers if it is the first one. */
     void sendEvent(String text) {
         startStream();
-        ServerSentEvent.parse(text).id().ifPresent(id -> lastEventId = OptionalLong.of(id));
+        ServerSentEvent event = ServerSentEvent.parse(text);
+        if (!event.isComment()) {
+            lastEventId = event.id();
+        }
         response()
                 .write(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)))
                 .onFailure(failure -> closeConnection());
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -185,9 +185,10 @@
             hasEvent = true;
             lastEventId = event.id();
         }
+        boolean isResumable = !hasEvent || lastEventId.isPresent();
         inbox.accept(
                 new RouterInput.TokensArrived(
-                        attempt, firstTokenPosition, tokensPerEvent, event.text()));
+                        attempt, firstTokenPosition, tokensPerEvent, event.text(), isResumable));
     }
 
     /**
--- a/gateway/src/test/java/org/bramleylatch/gateway/StreamResumptionTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/StreamResumptionTest.java
@@ -38,6 +38,24 @@
         harness.stop();
     }
 
+    @Test
+    void aStreamWithoutEventIdsIsNotRunAgainAfterItsFirstEvent() throws Exception {
+        RawCaller.Received received =
+                callStory(
+                        CHUNKED + StreamText.chunk(WITHOUT_ID),
+                        CHUNKED + StreamText.chunk(WITHOUT_ID + WITHOUT_ID) + "0\r\n\r\n");
+        assertIsBrokenOffAfter(received, WITHOUT_ID);
+        assertThat(requestCount.get()).isEqualTo(1);
+    }
+
+    @Test
+    void aStreamIsNotRunAgainAfterAnEventWithoutAnId() throws Exception {
+        RawCaller.Received received =
+                callStory(CHUNKED + StreamText.chunk(FIRST + WITHOUT_ID), SECOND_AND_END);
+        assertIsBrokenOffAfter(received, FIRST + WITHOUT_ID);
+        assertThat(requestCount.get()).isEqualTo(1);
+    }
+
     @Test
     void aCommentDoesNotKeepAStreamFromBeingResumed() throws Exception {
         RawCaller.Received received =
