Don't run a stream again because its caller reads slowly

Cause: the attempt of a caller that does not read is cancelled to free its endpoint's memory and started again once the caller reads. Neither the route's kind nor whether the answer can be continued was asked.

Before the change, BegunStreamTest failed in two cases, an unsafe route and a stream without ids: "Expected size: 1 but was: 2 in: [StartAttempt[attempt=attempt-3, ...position=0], StartAttempt[attempt=attempt-4, ...position=1]]".

Change: an attempt that no other may continue stays paused; its endpoint decides how long it keeps the answer, and the request's deadline still holds. Resumable streams are parked as before.

Measured: the class passes; all tests of core, wire, edge, platform and gateway pass, in one run.

--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -100,7 +100,27 @@
         return attempt.isPresent();
     }
 
-    /** Cancels the attempt to free the endpoint's memory while the caller does not read. */
+    /**
+     * Frees the endpoint's memory while the caller does not read, unless no other attempt could
+     * continue the answer.
+     */
+    private void handlePause(RouterWorld world, AttemptRow row, long nowMillis) {
+        boolean isContinuable =
+                world.requests()
+                        .find(row.request())
+                        .filter(request -> request.spec().route().repeatable())
+                        .filter(RequestRow::resumable)
+                        .isPresent();
+        if (isContinuable) {
+            park(world, row);
+        } else {
+            world.timers()
+                    .set(
+                            new AttemptSilenceCheck(row.id()),
+                            nowMillis + limits.pauseTimeoutMillis());
+        }
+    }
+
     private static void park(RouterWorld world, AttemptRow row) {
         RequestCompletion.closeAttempt(world, row.id());
         world.send(new RouterOutput.CancelAttempt(row.id()));
@@ -112,7 +132,7 @@
         long timeoutMillis = silenceTimeoutMillis(row);
         long dueMillis = row.lastProgressMillis() + timeoutMillis;
         if (row.paused()) {
-            park(world, row);
+            handlePause(world, row, nowMillis);
         } else if (nowMillis < dueMillis) {
             world.timers().set(new AttemptSilenceCheck(row.id()), dueMillis);
         } else if (keepsWaiting(world, row, nowMillis)) {
--- a/core/src/test/java/org/bramleylatch/core/BegunStreamTest.java
+++ b/core/src/test/java/org/bramleylatch/core/BegunStreamTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
+import java.util.Optional;
 import org.bramleylatch.core.RouterInput.ServiceAnswered;
 import org.bramleylatch.core.RouterOutput.DeliverServiceAnswer;
 import org.bramleylatch.core.RouterOutput.Refuse;
@@ -61,6 +63,63 @@
                 .isEqualTo(ResultCode.ANSWER_INCOMPLETE);
     }
 
+    /** Guards against a request that runs twice because its caller reads slowly. */
+    @Test
+    void aSlowCallerOfAStreamThatMayRunOnlyOnceKeepsItsAttempt() {
+        AttemptId attempt = startStreamThatMayRunOnlyOnce();
+        router.receiveToken(attempt, 0);
+        assertNothingRunsAgainAfterAPause();
+    }
+
+    @Test
+    void aSlowCallerOfAStreamThatCannotBeResumedKeepsItsAttempt() {
+        AttemptId attempt = router.startChat(100, 50);
+        router.receive(new RouterInput.TokensArrived(attempt, 0, 1, "word ", false));
+        assertNothingRunsAgainAfterAPause();
+    }
+
+    private AttemptId startStreamThatMayRunOnlyOnce() {
+        RouteOptions standard = RouteOptions.standard();
+        RouteOptions withoutClaim =
+                new RouteOptions(
+                        standard.host(),
+                        standard.allowsAnonymous(),
+                        false,
+                        true,
+                        true,
+                        false,
+                        standard.maxAttempts(),
+                        0,
+                        0,
+                        0,
+                        List.of());
+        RouteRow chat = RouterHarness.CHAT;
+        RouteRow route =
+                new RouteRow(
+                        chat.name(),
+                        RouteKind.CHAT,
+                        chat.selector(),
+                        chat.backEnd(),
+                        false,
+                        0,
+                        List.of(),
+                        Optional.of(withoutClaim));
+        RequestKey key = router.arrive(route, 100, 50);
+        router.receive(
+                new RouterInput.ReserveGranted(RouterHarness.KEEPER, key, RouterHarness.GRANT));
+        return router.lastOutput(StartAttempt.class).orElseThrow().attempt();
+    }
+
+    private void assertNothingRunsAgainAfterAPause() {
+        RequestId request = router.lastOutput(StartAttempt.class).orElseThrow().request();
+        router.receive(new RouterInput.CallerPaused(request, true));
+        router.advance(2 * RouterLimits.standalone().pauseTimeoutMillis());
+        router.receive(new RouterInput.CallerPaused(request, false));
+        assertThat(router.outputs(StartAttempt.class)).hasSize(1);
+        assertThat(router.outputs(RouterOutput.CancelAttempt.class)).isEmpty();
+        assertThat(router.world.attempts().size()).isEqualTo(1);
+    }
+
     /** Breaks a chat off after its first token and returns the attempt that continues it. */
     private AttemptId resumeAfterFirstToken() {
         AttemptId attempt = router.startChat(100, 50);
