Skip a record that can't be read instead of its page or stream

A value that is no Base64, a missing key or a null item made the list of all keys fail for ever; a change that its consumer couldn't apply took the rest of its page with it; bytes that are no UTF-8 became other keys and values. Every record of a keyed stream is decoded and applied under one guard now (RecordGuard): an exception or a stack overflow is logged with stream, key and offset, and the reader goes on. It replaces the handlers in ConfigurationReceiver and ReportStore.

--- a/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
@@ -1,12 +1,10 @@
 package org.bramleylatch.gateway;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.ResultCode;
-import org.bramleylatch.core.ResultException;
-import org.bramleylatch.core.RolloutOrder;
 import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.edge.RecordGuard;
 import org.bramleylatch.platform.KeyedChange;
 import org.bramleylatch.platform.KeyedPage;
 import org.bramleylatch.platform.OperatorConfig;
@@ -17,6 +15,7 @@
 /** Reads the operator's configuration and passes each newer revision to router and keeper. */
 final class ConfigurationReceiver {
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationReceiver.class);
+    private static final RecordGuard GUARD = RecordGuard.of("operator stream");
 
     private final Consumer<RouterInput> routerInbox;
     private final Consumer<KeeperInput> keeperInbox;
@@ -39,18 +38,17 @@
         return latest;
     }
 
-    /** Applies the configurations in a page of the operator's stream. */
+    /**
+     * Applies the configurations, then the orders in a page of the operator's stream. An invalid
+     * configuration is logged and skipped; the newest valid one stays in use.
+     */
     void receivePage(KeyedPage page) {
         if (!reachable) {
             reachable = true;
             LOG.info("operator stream reachable again, configuration revision {}", revision());
         }
-        page.changes().stream()
-                .filter(change -> change.key().equals(OperatorConfig.STREAM_KEY))
-                .forEach(this::readChange);
-        page.changes().stream()
-                .filter(change -> RolloutOrders.isOrder(change.key()))
-                .forEach(this::readOrder);
+        page.applyEach(GUARD, this::readConfiguration);
+        page.applyEach(GUARD, this::readOrder);
     }
 
     /** Logs that the stream can't be read; the newest configuration stays in use. */
@@ -64,22 +62,24 @@
         }
     }
 
-    private void readOrder(KeyedChange change) {
-        Optional<RolloutOrder> order = RolloutOrders.parse(change);
-        order.map(RouterInput.RolloutOrdered::new).ifPresent(routerInbox);
-        if (order.isEmpty() && change.value().isPresent()) {
-            LOG.warn("ignored an invalid order {}: {}", change.key(), change.value().get());
+    private void readConfiguration(KeyedChange change) {
+        if (change.key().equals(OperatorConfig.STREAM_KEY)) {
+            change.value().map(OperatorConfig::parse).ifPresent(this::applyIfNewer);
         }
     }
 
-    private void readChange(KeyedChange change) {
-        try {
-            change.value().map(OperatorConfig::parse).ifPresent(this::applyIfNewer);
-        } catch (ResultException malformed) {
-            LOG.warn("ignored an invalid configuration: {}", malformed.getMessage());
+    private void readOrder(KeyedChange change) {
+        if (RolloutOrders.isOrder(change.key()) && change.value().isPresent()) {
+            RolloutOrders.parse(change)
+                    .map(RouterInput.RolloutOrdered::new)
+                    .ifPresentOrElse(routerInbox, () -> logInvalidOrder(change));
         }
     }
 
+    private static void logInvalidOrder(KeyedChange change) {
+        LOG.warn("ignored an invalid order {} at offset {}", change.key(), change.offset());
+    }
+
     private void applyIfNewer(OperatorConfig config) {
         if (config.configuration().revision() > revision()) {
             latest = config;
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointRegistry.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointRegistry.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.edge.RecordGuard;
 import org.bramleylatch.platform.BackEndTraits;
 import org.bramleylatch.platform.EndpointEntry;
 import org.bramleylatch.platform.KeyedChange;
@@ -19,6 +20,7 @@
 /** Tracks the endpoints in the platform's registry, and reports their changes to the router. */
 final class EndpointRegistry {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointRegistry.class);
+    private static final RecordGuard GUARD = RecordGuard.of("endpoint registry");
 
     private final Function<String, BackEndTraits> traitsOf;
     private final Consumer<RouterInput> inbox;
@@ -47,7 +49,7 @@
         if (page.listsAllKeys()) {
             withdrawUnlisted(page);
         }
-        page.changes().forEach(this::applyChange);
+        page.applyEach(GUARD, this::applyChange);
     }
 
     /** Reports that the registry is unreachable. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
@@ -5,7 +5,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.edge.RecordGuard;
 import org.bramleylatch.platform.Addresses;
+import org.bramleylatch.platform.KeyedChange;
 import org.bramleylatch.platform.KeyedPage;
 import org.bramleylatch.platform.StoreClient;
 import org.bramleylatch.wire.Address;
@@ -15,6 +17,7 @@
 /** Publishes this process's address to its peers in the store and discovers their addresses. */
 final class PeerDirectory {
     private static final Logger LOG = LoggerFactory.getLogger(PeerDirectory.class);
+    private static final RecordGuard GUARD = RecordGuard.of("peers");
     private static final long RETRY_MILLIS = 1_000;
 
     private final Vertx vertx;
@@ -56,13 +59,16 @@
      * Adds the peers in a page of their stream. A peer that was removed still counts as a router.
      */
     void receivePage(KeyedPage page) {
-        page.changes().forEach(change -> knownVms.add(change.key()));
+        page.applyEach(GUARD, this::addPeer);
         inbox.accept(new RouterInput.RoutersCounted(knownVms.size()));
-        page.changes().stream()
-                .flatMap(change -> change.value().stream())
-                .flatMap(text -> Addresses.parse(text).stream())
+    }
+
+    private void addPeer(KeyedChange change) {
+        knownVms.add(change.key());
+        change.value()
+                .flatMap(Addresses::parse)
                 .filter(address -> !address.equals(ownAddress))
-                .forEach(onPeerFound);
+                .ifPresent(onPeerFound);
     }
 
     private Long retry(Throwable failure) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/ReportStore.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ReportStore.java
@@ -2,22 +2,20 @@
 
 import io.vertx.core.Vertx;
 import java.util.function.Consumer;
-import org.bramleylatch.core.ResultException;
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterReport;
+import org.bramleylatch.edge.RecordGuard;
 import org.bramleylatch.platform.KeyedChange;
 import org.bramleylatch.platform.KeyedPage;
 import org.bramleylatch.platform.StoreClient;
 import org.bramleylatch.wire.Json;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Stores what this router tells all others, and reads what they have stored. Peers learn of a
  * report faster from the keepers; the store keeps it while processes restart.
  */
 final class ReportStore {
-    private static final Logger LOG = LoggerFactory.getLogger(ReportStore.class);
+    private static final RecordGuard GUARD = RecordGuard.of("router reports");
 
     private final Consumer<RouterInput> inbox;
     private final LatestValueWriter<RouterReport> writer;
@@ -36,17 +34,13 @@
 
     /** Passes the reports in a page of their stream to the router. */
     void receivePage(KeyedPage page) {
-        page.changes().forEach(this::receiveChange);
+        page.applyEach(GUARD, this::receiveChange);
     }
 
     private void receiveChange(KeyedChange change) {
-        try {
-            change.value()
-                    .map(text -> Json.read(text, RouterReport.class))
-                    .map(RouterInput.ReportReceived::new)
-                    .ifPresent(inbox);
-        } catch (ResultException malformed) {
-            LOG.warn("ignored an invalid report {}: {}", change.key(), malformed.getMessage());
-        }
+        change.value()
+                .map(text -> Json.read(text, RouterReport.class))
+                .map(RouterInput.ReportReceived::new)
+                .ifPresent(inbox);
     }
 }
