--- a/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerCursor.java
@@ -70,7 +70,7 @@
 
     /**
      * Moves forward to the offset, because a snapshot from another source covers all records before
-     * it.
+     * it, or because the records up to it that were not read can't be.
      */
     public void jumpTo(long offset) {
         nextOffset = Math.max(nextOffset, offset);
--- a/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.ext.web.client.WebClient;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.bramleylatch.core.Incarnation;
@@ -25,6 +26,7 @@
  */
 public final class LedgerStream {
     private static final Logger LOG = LoggerFactory.getLogger(LedgerStream.class);
+    private static final RecordGuard GUARD = RecordGuard.of(LogStreams.LEDGER);
     private static final long PEER_TIMEOUT_MILLIS = 2_000;
     private static final int MAX_READ_RECORDS = 5_000;
 
@@ -112,16 +114,25 @@
                 .exceptionally(LedgerStream::logAppendFailure);
     }
 
+    /**
+     * Reports the records of a page. One that can't be read is skipped by all readers alike, and
+     * the cursor moves past it.
+     */
     private void receivePage(LogPage page) {
         boolean searching = cursor.isSearching();
         List<LogEntry> entries =
                 page.records().stream()
                         .filter(item -> !searching || WireEntry.mayBeSnapshot(item.text()))
-                        .map(LedgerStream::decode)
+                        .flatMap(item -> decode(item).stream())
                         .toList();
         cursor.advance(page.earliestOffset(), entries).forEach(onUpdate);
-        if (searching && !page.records().isEmpty()) {
-            cursor.markSearched(page.records().get(page.records().size() - 1).offset() + 1);
+        if (!page.records().isEmpty()) {
+            long endOffset = page.records().get(page.records().size() - 1).offset() + 1;
+            if (searching) {
+                cursor.markSearched(endOffset);
+            } else {
+                cursor.jumpTo(endOffset);
+            }
         }
         if (!caughtUp && !cursor.isSearching() && cursor.readOffset() >= page.endOffset()) {
             caughtUp = true;
@@ -179,8 +190,11 @@
         onUpdate.accept(new LogUpdate.SnapshotLoaded(snapshot));
     }
 
-    private static LogEntry decode(LogPage.Item item) {
-        return WireEntry.decode(item.offset(), item.timeMillis(), item.text());
+    private static Optional<LogEntry> decode(LogPage.Item item) {
+        return GUARD.decode(
+                "",
+                item.offset(),
+                () -> WireEntry.decode(item.offset(), item.timeMillis(), item.text()));
     }
 
     private static Void logAppendFailure(Throwable failure) {
