End requests and attempts that nothing takes any further

Cause: a failure was logged and belonged to nobody. A request whose attempt, queue entry, timer or settlement was gone stayed in its table; an output that threw was dropped; at the edge, an exchange or a call outlived its row.

Change: OwnershipSystem looks once a second, and only while there are requests, for requests without the owner of their stage; one that lacks it twice in a row is refused with its true run state, an attempt without its request is cancelled. A failed arrival is refused at once. An output that throws goes back to the world as OutputFailed, which fails the attempt, refuses the claim or breaks off the answer. The gateway ends exchanges and calls that its router does not know at two checks in a row, logs and counts them. A request whose usage is already being settled is not billed again.

--- a/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
+++ b/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
@@ -69,7 +69,8 @@
                         clock,
                         AdminWorld.of(self),
                         AdminWorld.schedule(KeeperLimits.standalone(), FailureLog.handler()),
-                        this::handleOutput);
+                        this::handleOutput,
+                        (output, detail) -> Optional.empty());
         this.ledgerStream =
                 new LedgerStream(
                         platform, self, update -> loop.offer(new AdminInput.FromLog(update)));
--- a/core/src/main/java/org/bramleylatch/core/RequestCompletion.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestCompletion.java
@@ -128,7 +128,8 @@
                         || row.deliveredTokens() == 0
                                 && !row.spec().route().options().billsUnansweredPrompt();
         long tokens = isFree ? 0 : row.spec().promptTokens() + row.deliveredTokens();
-        if (tokens > 0 && row.grant().isPresent()) {
+        boolean settling = world.settlements().has(row.spec().key());
+        if (tokens > 0 && row.grant().isPresent() && !settling) {
             Settlements.open(world, row, tokens, Optional.empty());
         } else {
             releaseReservation(world, row);
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -19,6 +19,7 @@
 import org.bramleylatch.core.RouterInput.KeeperUp;
 import org.bramleylatch.core.RouterInput.LocalKeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
+import org.bramleylatch.core.RouterInput.OutputFailed;
 import org.bramleylatch.core.RouterInput.RateLimitObserved;
 import org.bramleylatch.core.RouterInput.RegistryReachabilityReported;
 import org.bramleylatch.core.RouterInput.ReportReceived;
@@ -49,7 +50,36 @@
         addAnswerHandlers(handlers, world, nowMillis);
         addEndpointHandlers(handlers, world, nowMillis);
         addFleetHandlers(handlers, world, nowMillis);
-        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(failures.guard(handlers::apply));
+        world.inbox()
+                .take(MAX_MESSAGES_PER_TICK)
+                .forEach(refusingArrivals(world).guard(handlers::apply));
+    }
+
+    /** Returns a handler that refuses an arrival that failed, as its caller has no other owner. */
+    private FailureHandler refusingArrivals(RouterWorld world) {
+        return (message, failure) -> {
+            if (message instanceof CallArrived arrived) {
+                refuseArrival(world, arrived.call().id());
+            } else if (message instanceof RequestArrived arrived) {
+                refuseArrival(world, arrived.spec().id());
+            }
+            failures.handle(message, failure);
+        };
+    }
+
+    private static void refuseArrival(RouterWorld world, RequestId id) {
+        String detail = "request could not be admitted";
+        world.requests()
+                .find(id)
+                .ifPresentOrElse(
+                        row -> RequestCompletion.refuse(world, row, ResultCode.INTERNAL, detail),
+                        () ->
+                                world.send(
+                                        new RouterOutput.Refuse(
+                                                id,
+                                                ResultCode.INTERNAL,
+                                                RunState.NOT_RUN,
+                                                detail)));
     }
 
     private void addRequestHandlers(
@@ -73,6 +103,10 @@
                 .on(AttemptFailed.class, answers::failAttempt)
                 .on(CallerPaused.class, answers::pauseOrResume)
                 .on(CallerDisconnected.class, answers::abandon)
+                .on(
+                        OutputFailed.class,
+                        new FailedOutputs(world, answers, new Admission(world, limits, nowMillis))
+                                ::handle)
                 .on(UsageHeld.class, usage -> Settlements.finishAnswer(world, usage.key()))
                 .on(UsageDurable.class, usage -> Settlements.close(world, usage.key()));
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -152,6 +152,12 @@
     /** Carries what a router told all others. */
     record ReportReceived(RouterReport report) implements RouterInput {}
 
+    /**
+     * Reports that an output could not be handled, so that the request that it belongs to is ended
+     * or goes on.
+     */
+    record OutputFailed(RouterOutput output, String detail) implements RouterInput {}
+
     /** Reports that the caller reads too slowly, or no longer does. */
     record CallerPaused(RequestId request, boolean paused) implements RouterInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -22,6 +22,7 @@
                 new RateLimitSystem(),
                 new RolloutSystem(),
                 new PlacementSystem(placement, limits, failures),
+                new OwnershipSystem(failures),
                 new SettlementSystem(),
                 new MoveReportSystem(limits),
                 new RouterStopSystem());
--- a/core/src/main/java/org/bramleylatch/core/RouterTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -18,6 +18,9 @@
     /** Removes an endpoint that is still not listed some time after an outage of the registry. */
     record WithdrawalDue(EndpointId endpoint) implements RouterTimer {}
 
+    /** Looks for requests that nothing takes any further. */
+    record OwnershipCheck() implements RouterTimer {}
+
     /** Wakes the router to report the attempts during moves. */
     record MoveReport() implements RouterTimer {}
 
--- a/edge/src/main/java/org/bramleylatch/edge/TickLoop.java
+++ b/edge/src/main/java/org/bramleylatch/edge/TickLoop.java
@@ -5,7 +5,9 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.bramleylatch.core.Schedule;
 import org.bramleylatch.core.World;
@@ -31,6 +33,7 @@
     private final W world;
     private final Schedule<W> schedule;
     private final Consumer<O> outputHandler;
+    private final BiFunction<O, String, Optional<I>> failedOutputs;
     private boolean tickScheduled;
     private long timerId = NO_TIMER;
     private long timerDeadlineMillis = Long.MAX_VALUE;
@@ -39,6 +42,8 @@
      * Creates a loop; its first tick runs after the first message.
      *
      * @param outputHandler handles each output message; called on the context of the loop
+     * @param failedOutputs returns the message that tells the world of an output message that could
+     *     not be handled, and why; empty if nothing in the world waits for it
      */
     public TickLoop(
             Vertx vertx,
@@ -46,13 +51,15 @@
             InstantSource clock,
             W world,
             Schedule<W> schedule,
-            Consumer<O> outputHandler) {
+            Consumer<O> outputHandler,
+            BiFunction<O, String, Optional<I>> failedOutputs) {
         this.vertx = requireNonNull(vertx);
         this.context = requireNonNull(context);
         this.clock = requireNonNull(clock);
         this.world = requireNonNull(world);
         this.schedule = requireNonNull(schedule);
         this.outputHandler = requireNonNull(outputHandler);
+        this.failedOutputs = requireNonNull(failedOutputs);
     }
 
     /** Adds a message to the inbox and schedules a tick; may be called from any thread. */
@@ -71,6 +78,10 @@
 
     private void addToInbox(I message) {
         world.inbox().add(message);
+        scheduleTick();
+    }
+
+    private void scheduleTick() {
         if (!tickScheduled) {
             tickScheduled = true;
             context.runOnContext(ignored -> tick());
@@ -90,18 +101,23 @@
     private void sendOutputs() {
         world.outbox().take(MAX_OUTPUTS_PER_TICK).forEach(this::handleOutput);
         if (!world.inbox().isEmpty() || !world.outbox().isEmpty()) {
-            tickScheduled = true;
-            context.runOnContext(ignored -> tick());
+            scheduleTick();
         }
         updateTimer();
     }
 
-    /** Handles a message; an exception must not keep the messages after it from being handled. */
+    /**
+     * Handles a message. An exception does not keep the messages after it from being handled, and
+     * goes back to the world, which may have a request that waits for the message.
+     */
     private void handleOutput(O message) {
         try {
             outputHandler.accept(message);
         } catch (RuntimeException failure) {
             LOG.error("output message could not be handled: {}", message, failure);
+            failedOutputs
+                    .apply(message, "output could not be handled: " + failure)
+                    .ifPresent(world.inbox()::add);
         }
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -4,11 +4,13 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.bramleylatch.core.Call;
 import org.bramleylatch.core.MessageHandlers;
 import org.bramleylatch.core.RequestId;
@@ -22,9 +24,12 @@
 import org.bramleylatch.edge.RandomIds;
 import org.bramleylatch.edge.RequestMetrics;
 import org.bramleylatch.platform.CallerRequestHead;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Serves callers over HTTP: passes their requests to the router and the router's answers back. */
 final class CallerServer {
+    private static final Logger LOG = LoggerFactory.getLogger(CallerServer.class);
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
 
     private final InstantSource clock;
@@ -34,6 +39,7 @@
     private final IntSupplier maxBodyBytes;
     private final BooleanSupplier draining;
     private final Map<RequestId, CallerExchange> exchanges = new HashMap<>();
+    private final OrphanCheck<RequestId> orphanCheck = new OrphanCheck<>();
     private final MessageHandlers<RouterOutput> handlers = handlers();
     private long requestCount;
 
@@ -84,6 +90,25 @@
         handlers.accept(output);
     }
 
+    /**
+     * Refuses the requests that the router does not know, or breaks off their answers; they may
+     * have run.
+     *
+     * @return how many requests were ended
+     */
+    int endOrphans(Predicate<RequestId> isKnown) {
+        List<RequestId> orphans = orphanCheck.findOrphans(exchanges.keySet(), isKnown);
+        orphans.forEach(this::endOrphan);
+        return orphans.size();
+    }
+
+    private void endOrphan(RequestId id) {
+        LOG.error("request {} is unknown to the router, refused", id);
+        refuse(
+                new RouterOutput.Refuse(
+                        id, ResultCode.INTERNAL, RunState.UNKNOWN, "request was lost"));
+    }
+
     private MessageHandlers<RouterOutput> handlers() {
         return MessageHandlers.<RouterOutput>empty()
                 .on(RouterOutput.DeliverTokens.class, this::deliver)
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -11,10 +11,12 @@
 import java.net.ConnectException;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
@@ -25,9 +27,13 @@
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.platform.EndpointEntry;
 import org.bramleylatch.platform.EndpointRequestHead;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Sends attempts to endpoints over HTTP and passes their answers to the router. */
 final class EndpointClient {
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointClient.class);
+
     /**
      * Covers many round trips between zones. TCP retransmits a lost packet of the handshake only
      * after this time, so a new attempt is faster.
@@ -53,6 +59,7 @@
     private final NetClient probeClient;
     private final ByteBudget bufferBudget = new ByteBudget(MAX_BUFFERED_BYTES);
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
+    private final OrphanCheck<AttemptId> orphanCheck = new OrphanCheck<>();
 
     /**
      * Creates the client; no connection is opened yet.
@@ -122,6 +129,22 @@
         Optional.ofNullable(calls.remove(cancel.attempt())).ifPresent(EndpointCall::cancel);
     }
 
+    /**
+     * Cancels the attempts that the router does not know.
+     *
+     * @return how many attempts were cancelled
+     */
+    int cancelOrphans(Predicate<AttemptId> isKnown) {
+        List<AttemptId> orphans = orphanCheck.findOrphans(calls.keySet(), isKnown);
+        orphans.forEach(this::cancelOrphan);
+        return orphans.size();
+    }
+
+    private void cancelOrphan(AttemptId attempt) {
+        LOG.error("attempt {} is unknown to the router, cancelled", attempt);
+        cancelAttempt(new RouterOutput.CancelAttempt(attempt));
+    }
+
     /**
      * Opens a connection to an endpoint and closes it again. Only a refused connection shows that
      * the endpoint has ended; behind a network partition, the connection times out.
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -11,6 +11,7 @@
 import io.vertx.ext.web.Router;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.bramleylatch.core.AttemptId;
@@ -62,6 +63,8 @@
     /** The time at the end of the grace period that is reserved for the last appends to the log. */
     private static final long LAST_APPENDS_MILLIS = 700;
 
+    private static final long ORPHAN_CHECK_MILLIS = 1_000;
+
     private final Vertx vertx;
     private final Context context;
     private final MonotonicClock clock;
@@ -75,6 +78,7 @@
     private final Dispatch<KeeperOutput, RouterInput> replyTranslation;
     private final TickLoop<RouterInput, RouterOutput, RouterWorld> routerLoop;
     private final TickLoop<KeeperInput, KeeperOutput, KeeperWorld> keeperLoop;
+    private final Counter orphanCounter;
     private final CallerServer callerServer;
     private final EndpointClient endpointClient;
     private final EndpointRegistry endpointRegistry;
@@ -130,6 +134,11 @@
                 new LatestValueWriter<>(
                         vertx,
                         (key, report) -> store.putRolloutState(report.order(), report.state()));
+        this.orphanCounter =
+                Counter.builder()
+                        .name("bramleylatch_gateway_orphans_total")
+                        .help("Requests and attempts that were ended as the router had lost them")
+                        .register(metricsRegistry);
         this.routerHandlers = routerHandlers();
         this.keeperHandlers = keeperHandlers();
     }
@@ -144,7 +153,8 @@
                         Placement.bySharedPrefix(),
                         routerLimits(boot.limits()),
                         FailureLog.handler()),
-                this::handleOutput);
+                this::handleOutput,
+                (output, detail) -> Optional.of(new RouterInput.OutputFailed(output, detail)));
     }
 
     private TickLoop<KeeperInput, KeeperOutput, KeeperWorld> keeperLoop() {
@@ -160,7 +170,8 @@
                         policy,
                         KeeperLimits.colocatedWithRouter(boot.logRetentionMillis()),
                         FailureLog.handler()),
-                this::handleOutput);
+                this::handleOutput,
+                (output, detail) -> Optional.empty());
     }
 
     private CallerServer callerServer() {
@@ -262,6 +273,7 @@
                         reportStore)
                 .follow();
         peerDirectory.announce();
+        vertx.setTimer(ORPHAN_CHECK_MILLIS, ignored -> endOrphans());
         Router monitoringRoutes = Router.router(vertx);
         MonitoringHandlers.mount(monitoringRoutes, metricsRegistry, this::isReady);
         Handler<HttpServerRequest> internalHandler =
@@ -282,6 +294,14 @@
                 .whenComplete((done, failure) -> completeStart(started, failure));
     }
 
+    private void endOrphans() {
+        RouterWorld world = routerLoop.world();
+        orphanCounter.inc(
+                (double) callerServer.endOrphans(world.requests()::has)
+                        + endpointClient.cancelOrphans(world.attempts()::has));
+        vertx.setTimer(ORPHAN_CHECK_MILLIS, ignored -> endOrphans());
+    }
+
     private CompletableFuture<Void> listen(Address address, Handler<HttpServerRequest> handler) {
         return HttpServers.listen(vertx, address, handler)
                 .thenAccept(server -> ports.add(server.actualPort()));
--- a/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
@@ -80,7 +81,8 @@
                         clock,
                         KeeperWorld.of(self),
                         KeeperSystems.schedule(policy, limits, FailureLog.handler()),
-                        this::handleOutput);
+                        this::handleOutput,
+                        (output, detail) -> Optional.empty());
         this.routerConnections = new RouterConnections(vertx, self, hybridClock, loop::offer);
         this.ledgerStream =
                 new LedgerStream(
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -6,6 +6,7 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.ext.web.Router;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.Event;
@@ -77,7 +78,9 @@
                                 Placement.byAffinity(),
                                 RouterLimits.standalone(),
                                 FailureLog.handler()),
-                        this::handleOutput);
+                        this::handleOutput,
+                        (output, detail) ->
+                                Optional.of(new RouterInput.OutputFailed(output, detail)));
         this.callerServer =
                 new CallerServer(clock, settings.mostBodyBytes(), world, loop::offer, metrics);
         this.endpointClient =
