Report readiness only once the configuration was read to its end

Cause: a router was ready from its first revision on. The page that brings it says nothing about records that were appended while the page was on its way, and the next read may fail and be retried first. The gateway had the same rule for the page of newest values.

Before the change, with the old rule behind ConfigStream.isCaughtUp, theFirstRevisionIsNotTheEndWhileTheNextOneIsBeingRead failed ("expected: 0L but was: 10000L": the second read waited). The gateway's test has no earlier run, as its methods are new.

Change: after the first known revision a follower reads on without waiting, until a read brings nothing; only then is it caught up, and the daemon ready. A gateway that knows a configuration and loses the store stays ready. A revision that is appended after that read takes its usual way, as in any running router.

--- a/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
@@ -17,12 +17,13 @@
 public final class ConfigStream {
     private static final int MAX_READ_RECORDS = 5_000;
 
-    private final PlatformClient platform;
+    private final LogService log;
     private final ConfigReader reader = ConfigReader.atStart();
+    private boolean caughtUp;
 
     /** Creates a reader that reads nothing yet. */
-    public ConfigStream(PlatformClient platform) {
-        this.platform = requireNonNull(platform);
+    public ConfigStream(LogService log) {
+        this.log = requireNonNull(log);
     }
 
     /** Returns the reader that holds the document read so far. */
@@ -30,6 +31,14 @@
         return reader;
     }
 
+    /**
+     * Returns true once the configuration is known and was read to its end: a page that brought it
+     * may be older than records that were appended while the page was on its way.
+     */
+    public boolean isCaughtUp() {
+        return caughtUp;
+    }
+
     /**
      * Reads the stream until cancelled.
      *
@@ -46,9 +55,15 @@
                         this::handleReadFailure);
     }
 
+    /** Does not wait between the first revision and the end of the stream. */
     private CompletableFuture<LogPage> readPage(long waitMillis) {
-        return platform.read(
-                LogStreams.CONFIGURATION, reader.readOffset(), MAX_READ_RECORDS, waitMillis);
+        long allowedWaitMillis = isKnown() && !caughtUp ? 0 : waitMillis;
+        return log.read(
+                LogStreams.CONFIGURATION, reader.readOffset(), MAX_READ_RECORDS, allowedWaitMillis);
+    }
+
+    private boolean isKnown() {
+        return reader.document().configuration().isKnown();
     }
 
     private void handleReadFailure(ResultCode code) {
@@ -68,6 +83,7 @@
                             page.earliestOffset(), item.offset(), item.timeMillis(), item.text());
             proposalResults.forEach(onProposalResult);
         }
+        caughtUp |= isKnown() && page.records().isEmpty();
         if (reader.document().configuration().revision() > previousRevision) {
             onConfiguration.accept(reader.document().configuration());
         }
--- a/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
@@ -23,6 +23,7 @@
     private Runnable changeListener = () -> {};
     private OperatorConfig latest = OperatorConfig.empty();
     private boolean reachable = true;
+    private boolean readToEnd;
 
     ConfigurationReceiver(Consumer<RouterInput> routerInbox, Consumer<KeeperInput> keeperInbox) {
         this.routerInbox = routerInbox;
@@ -39,12 +40,28 @@
         return latest;
     }
 
+    /**
+     * Returns true once a configuration is known and the stream was read to its end, or became
+     * unreachable: the first page may be older than changes that were written meanwhile.
+     */
+    boolean isCaughtUp() {
+        return isKnown() && (readToEnd || !reachable);
+    }
+
+    /**
+     * Returns true if the next read must not wait for changes, as it tells whether there are any.
+     */
+    boolean isReadingToEnd() {
+        return isKnown() && !readToEnd;
+    }
+
     /** Applies the configurations in a page of the operator's stream. */
     void receivePage(KeyedPage page) {
         if (!reachable) {
             reachable = true;
             LOG.info("operator stream reachable again, configuration revision {}", revision());
         }
+        readToEnd |= isKnown() && page.changes().isEmpty();
         page.changes().stream()
                 .filter(change -> change.key().equals(OperatorConfig.STREAM_KEY))
                 .forEach(this::readChange);
@@ -89,6 +106,10 @@
         }
     }
 
+    private boolean isKnown() {
+        return latest.configuration().isKnown();
+    }
+
     private long revision() {
         return latest.configuration().revision();
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -325,6 +325,7 @@
     private boolean isReady() {
         return !draining
                 && routerLoop.world().configuration().isKnown()
+                && configurationReceiver.isCaughtUp()
                 && ledgerStream.isCaughtUp();
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
@@ -1,7 +1,9 @@
 package org.bramleylatch.gateway;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.edge.LedgerStream;
 import org.bramleylatch.edge.LogFollower;
@@ -31,20 +33,27 @@
     void follow() {
         ReadPace changePace = pace(settings.storeWaitMillis(), 0);
         ReadPace rareChangePace = pace(RARE_CHANGES_WAIT_MILLIS, 0);
+        KeyedStream operatorConfig = KeyedStream.operatorConfig(store);
         follow(
-                KeyedStream.operatorConfig(store),
+                waitMillis ->
+                        operatorConfig.read(
+                                configurationReceiver.isReadingToEnd() ? 0 : waitMillis),
                 changePace,
                 configurationReceiver::receivePage,
                 configurationReceiver::markUnreachable);
         follow(
-                KeyedStream.endpoints(store),
+                KeyedStream.endpoints(store)::read,
                 changePace,
                 endpointRegistry::receivePage,
                 code -> endpointRegistry.markUnreachable());
         ledgerStream.follow(pace(settings.storeWaitMillis(), settings.ledgerPauseMillis()));
-        follow(KeyedStream.peers(store), rareChangePace, peerDirectory::receivePage, code -> {});
         follow(
-                KeyedStream.routerReports(store),
+                KeyedStream.peers(store)::read,
+                rareChangePace,
+                peerDirectory::receivePage,
+                code -> {});
+        follow(
+                KeyedStream.routerReports(store)::read,
                 rareChangePace,
                 reportStore::receivePage,
                 code -> {});
@@ -55,10 +64,10 @@
     }
 
     private static void follow(
-            KeyedStream stream,
+            LongFunction<CompletableFuture<KeyedPage>> read,
             ReadPace pace,
             Consumer<KeyedPage> onPage,
             Consumer<ResultCode> onFailure) {
-        new LogFollower<KeyedPage>(stream::read, pace).follow(onPage, onFailure);
+        new LogFollower<>(read, pace).follow(onPage, onFailure);
     }
 }
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -128,9 +128,7 @@
 
     private boolean isReady() {
         RouterWorld world = loop.world();
-        return !world.isStopping()
-                && !world.keepers().isEmpty()
-                && world.configuration().revision() >= 0;
+        return !world.isStopping() && !world.keepers().isEmpty() && configStream.isCaughtUp();
     }
 
     private void handleOutput(RouterOutput output) {
