--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -4,12 +4,14 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.bramleylatch.core.Call;
 import org.bramleylatch.core.MessageHandlers;
 import org.bramleylatch.core.RequestId;
@@ -39,6 +41,7 @@
     private final BooleanSupplier draining;
     private final AnswerWrites writes = new AnswerWrites();
     private final Map<RequestId, CallerExchange> exchanges = new HashMap<>();
+    private final OrphanCheck<RequestId> orphanCheck = new OrphanCheck<>();
     private final MessageHandlers<RouterOutput> handlers = handlers();
     private long requestCount;
 
@@ -96,6 +99,25 @@
         handlers.accept(output);
     }
 
+    /**
+     * Refuses the requests that the router does not know, or breaks off their answers; they may
+     * have run.
+     *
+     * @return how many requests were ended
+     */
+    int endOrphans(Predicate<RequestId> isKnown) {
+        List<RequestId> orphans = orphanCheck.findOrphans(exchanges.keySet(), isKnown);
+        orphans.forEach(this::endOrphan);
+        return orphans.size();
+    }
+
+    private void endOrphan(RequestId id) {
+        LOG.error("request {} is unknown to the router, refused", id);
+        refuse(
+                new RouterOutput.Refuse(
+                        id, ResultCode.INTERNAL, RunState.UNKNOWN, "request was lost"));
+    }
+
     private MessageHandlers<RouterOutput> handlers() {
         return MessageHandlers.<RouterOutput>empty()
                 .on(RouterOutput.DeliverTokens.class, this::deliver)
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -12,10 +12,12 @@
 import java.net.NoRouteToHostException;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
@@ -66,6 +68,7 @@
     private final NetClient probeClient;
     private final ByteBudget bufferBudget = new ByteBudget(MAX_BUFFERED_BYTES);
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
+    private final OrphanCheck<AttemptId> orphanCheck = new OrphanCheck<>();
 
     /**
      * Creates the client; no connection is opened yet.
@@ -154,6 +157,22 @@
         Optional.ofNullable(calls.remove(cancel.attempt())).ifPresent(EndpointCall::cancel);
     }
 
+    /**
+     * Cancels the attempts that the router does not know.
+     *
+     * @return how many attempts were cancelled
+     */
+    int cancelOrphans(Predicate<AttemptId> isKnown) {
+        List<AttemptId> orphans = orphanCheck.findOrphans(calls.keySet(), isKnown);
+        orphans.forEach(this::cancelOrphan);
+        return orphans.size();
+    }
+
+    private void cancelOrphan(AttemptId attempt) {
+        LOG.error("attempt {} is unknown to the router, cancelled", attempt);
+        cancelAttempt(new RouterOutput.CancelAttempt(attempt));
+    }
+
     /** Opens a connection to an endpoint and closes it again, and reports the outcome. */
     void probeEndpoint(RouterOutput.ProbeEndpoint probe) {
         Optional<EndpointEntry> entry = registry.apply(probe.endpoint());
@@ -165,7 +184,7 @@
             probe(probe, entry.get().address());
         } catch (RuntimeException refused) {
             LOG.warn("probe of {} not started, {}", probe.endpoint(), entry.get(), refused);
-            reportProbe(probe, false, "not started: " + refused.getMessage());
+            reportProbe(probe, Outcome.NOT_TRIED, "not started: " + refused.getMessage());
         }
     }
 
--- a/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
@@ -98,7 +98,9 @@
         assertThat(inbox.poll(20, TimeUnit.SECONDS))
                 .isInstanceOfSatisfying(
                         RouterInput.EndpointProbed.class,
-                        probed -> assertThat(probed.refused()).isFalse());
+                        probed ->
+                                assertThat(probed.outcome())
+                                        .isEqualTo(RouterInput.EndpointProbed.Outcome.NOT_TRIED));
     }
 
     private void holdExchange(HttpServerRequest request) {
