Refuse a log record or report that lacks a component

A missing or null component became null in the record and was noticed only where a world applied it, in the middle of a tick: a report without its router, a usage without its key. Ledger records and router reports are decoded now only if every component is present, unless it is optional or a number, and nothing follows them; the guard of their stream skips the others.

--- a/gateway/src/main/java/org/bramleylatch/gateway/ReportStore.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ReportStore.java
@@ -39,7 +39,7 @@
 
     private void receiveChange(KeyedChange change) {
         change.value()
-                .map(text -> Json.read(text, RouterReport.class))
+                .map(text -> Json.readComplete(text, RouterReport.class))
                 .map(RouterInput.ReportReceived::new)
                 .ifPresent(inbox);
     }
--- a/wire/src/main/java/org/bramleylatch/wire/Json.java
+++ b/wire/src/main/java/org/bramleylatch/wire/Json.java
@@ -105,6 +105,29 @@
         }
     }
 
+    /**
+     * Decodes a value from JSON text in which each component of a record must be present and not
+     * null, unless it is optional or a number; unknown fields are ignored. For what any process may
+     * have written.
+     *
+     * @throws ResultException with MALFORMED_JSON if the text does not fit the type
+     */
+    public static <T> T readComplete(String text, Class<T> type) {
+        try {
+            T value =
+                    MAPPER.readerFor(type)
+                            .with(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+                            .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                            .readValue(text);
+            if (value == null) {
+                throw ResultException.of(ResultCode.MALFORMED_JSON, "null");
+            }
+            return value;
+        } catch (JsonProcessingException malformed) {
+            throw ResultException.of(ResultCode.MALFORMED_JSON, describe(malformed));
+        }
+    }
+
     /**
      * Decodes a value from a JSON tree; unknown fields are ignored.
      *
--- a/wire/src/main/java/org/bramleylatch/wire/WireEntry.java
+++ b/wire/src/main/java/org/bramleylatch/wire/WireEntry.java
@@ -45,7 +45,7 @@
      * @throws org.bramleylatch.core.ResultException with MALFORMED_JSON if the text does not fit
      */
     public static LogEntry decode(long offset, long timeMillis, String text) {
-        WireEntry entry = Json.read(text, WireEntry.class);
+        WireEntry entry = Json.readComplete(text, WireEntry.class);
         return new LogEntry(offset, timeMillis, entry.w, entry.s, entry.r);
     }
 }
