Fold ledger records with amounts out of range without harm

A report of attempts on a planned move made each reader of the ledger count to that number in one tick, which ends nothing and serves nobody; a takeover with a share below 0 or over 1,000 thousandths made tokens free that were never unused. The health test stops now once its sum stays the same, with the same result as before, and such a takeover is FIELD_INVALID. Negative usage was refused already. Evidence, before the change, in OddLedgerRecordTest: "execution timed out after 10000 ms" and "Expecting Optional to contain: FIELD_INVALID"; all tests of core pass with it.

--- a/core/src/main/java/org/bramleylatch/core/HealthTest.java
+++ b/core/src/main/java/org/bramleylatch/core/HealthTest.java
@@ -47,9 +47,20 @@
 
     /** Returns the test after the counted attempts, the bad ones first, up to an alarm. */
     public HealthTest after(Tally attempts, Tally old) {
+        return afterAlike(false, attempts.bad(), old).afterAlike(true, attempts.good(), old);
+    }
+
+    /**
+     * Returns the test after a number of equal attempts, up to an alarm. It stops once the sum
+     * stays the same, since each further attempt would leave it so.
+     */
+    private HealthTest afterAlike(boolean isGood, long count, Tally old) {
         HealthTest test = this;
-        for (long index = 0; index < attempts.total() && !test.isBad(); index++) {
-            test = test.after(index >= attempts.bad(), old);
+        boolean changed = true;
+        for (long index = 0; index < count && changed && !test.isBad(); index++) {
+            HealthTest next = test.after(isGood, old);
+            changed = !next.equals(test);
+            test = next;
         }
         return test;
     }
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -233,6 +233,9 @@
     }
 
     private Optional<ResultCode> takeOverHolder(HolderTakenOver record) {
+        if (record.usedPermille() < 0 || record.usedPermille() > UsableShareSystem.WHOLE_PERMILLE) {
+            return Optional.of(ResultCode.FIELD_INVALID);
+        }
         if (hasSuccessor(record.holder())) {
             return Optional.of(ResultCode.GRANT_UNKNOWN);
         }
