Refuse a request at once that no endpoint has the memory for

Cause: an endpoint whose memory is smaller than the worst case of a request has no capacity for it even when idle, which the placement took for a busy endpoint.

Before the change aRequestThatNoEndpointHasTheMemoryForIsRefusedAtOnce failed ("Expecting actual: [] to contain exactly [NO_ENDPOINT]"). The other five cases of ConfigurationChangeTest held before: a route, its members or a back end that leaves, and another timeout, while requests wait for tokens or in the queue.

Change: the placement refuses a request as NO_ENDPOINT if no endpoint that accepts work has the memory for it when idle.

Result: the tests of core, wire, edge, platform, gateway, router, keeper, admin and fakes pass.

--- a/core/src/main/java/org/bramleylatch/core/EndpointRow.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointRow.java
@@ -56,6 +56,11 @@
         return hasMemory && (slots == 0 || hasSlot);
     }
 
+    /** Returns true if the endpoint has the memory for the given tokens while it is idle. */
+    public boolean canHold(long tokens) {
+        return memoryTokens == 0 || tokens <= memoryTokens;
+    }
+
     /** Returns true if the endpoint is not leaving and its health allows another request. */
     public boolean acceptsWork(long nowMillis) {
         return !leavingSignals.isLeaving() && health.acceptsWork(nowMillis, load.outstanding());
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -48,16 +48,12 @@
             return;
         }
         List<EndpointRow> accepting = acceptingEndpoints(world, row, nowMillis);
-        if (accepting.isEmpty()) {
-            ResultCode code =
-                    row.deliveredTokens() > 0
-                            ? ResultCode.ANSWER_INCOMPLETE
-                            : ResultCode.NO_ENDPOINT;
-            RequestCompletion.refuse(world, row, code, "no endpoint can serve the request");
+        long worstCaseTokens = row.spec().worstCaseTokens();
+        if (accepting.stream().noneMatch(endpoint -> endpoint.canHold(worstCaseTokens))) {
+            refuseUnservable(world, row, accepting);
             return;
         }
         RateLimits rateLimits = new RateLimits(world, nowMillis);
-        long worstCaseTokens = row.spec().worstCaseTokens();
         List<EndpointRow> withCapacity =
                 accepting.stream()
                         .filter(e -> e.hasCapacityFor(worstCaseTokens, world.routerCount()))
@@ -77,6 +73,17 @@
                         () -> refuseIfLimited(world, row, accepting, rateLimits));
     }
 
+    private static void refuseUnservable(
+            RouterWorld world, RequestRow row, List<EndpointRow> accepting) {
+        ResultCode code =
+                row.deliveredTokens() > 0 ? ResultCode.ANSWER_INCOMPLETE : ResultCode.NO_ENDPOINT;
+        String detail =
+                accepting.isEmpty()
+                        ? "no endpoint can serve the request"
+                        : "no endpoint has the memory for the request";
+        RequestCompletion.refuse(world, row, code, detail);
+    }
+
     /**
      * Refuses a request at once if all endpoints have limits and no permit comes in time. A stream
      * that has begun keeps waiting, as nobody else can continue it.
