Hold a request's body to the limit that was in force at its start

Cause: the limit was read again for each part of the body and at its end. Parts over a small limit were dropped, and a limit that had grown meanwhile let the rest pass; a limit that had shrunk refused what had been read.

Change: CallerServer reads the limit once, at the request's head.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -66,18 +66,22 @@
         this.draining = draining;
     }
 
-    /** Reads a request and passes it to the router; a body over the limit is refused. */
+    /**
+     * Reads a request and passes it to the router; a body over the limit at the request's start is
+     * refused.
+     */
     void handleRequest(HttpServerRequest request) {
         long arrivedMillis = clock.millis();
+        int maxBytes = maxBodyBytes.getAsInt();
         Buffer body = Buffer.buffer();
         request.handler(
                 bytes -> {
-                    if (body.length() <= maxBodyBytes.getAsInt()) {
+                    if (body.length() <= maxBytes) {
                         body.appendBuffer(bytes);
                     }
                 });
         request.exceptionHandler(failure -> onBrokenRequest.run());
-        request.endHandler(end -> readRequest(request, body, arrivedMillis));
+        request.endHandler(end -> readRequest(request, body, maxBytes, arrivedMillis));
     }
 
     /** Returns the exchange of a request; empty once it was answered or its caller disconnected. */
@@ -130,10 +134,11 @@
                 .on(RouterOutput.Refuse.class, this::refuse);
     }
 
-    private void readRequest(HttpServerRequest request, Buffer body, long arrivedMillis) {
+    private void readRequest(
+            HttpServerRequest request, Buffer body, int maxBytes, long arrivedMillis) {
         try {
             CallerRequestHead head = CallerRequestHead.of(request);
-            if (body.length() > maxBodyBytes.getAsInt()) {
+            if (body.length() > maxBytes) {
                 throw ResultException.of(ResultCode.BODY_TOO_LARGE, "body");
             }
             openExchange(new CallerExchange(request, head, body, arrivedMillis));
