Pass on no request behind an answer that closes its connection

Cause: the runtime handles pipelined requests one after the other; the next one is handled as soon as the answer before it has ended, which is before the connection closes. CallerServer passed it to the router, which began an attempt and cancelled it with the connection.

Change: an answer that closes its connection marks the connection before its end; a request on a marked connection is not passed on.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -30,6 +30,7 @@
     private final long arrivedMillis;
     private Optional<EndpointAnswerHead> answerHead = Optional.empty();
     private OptionalLong lastEventId = OptionalLong.empty();
+    private Runnable closingListener = () -> {};
     private boolean started;
 
     CallerExchange(
@@ -40,6 +41,11 @@
         this.arrivedMillis = arrivedMillis;
     }
 
+    /** Sets the action that runs before the end of an answer that closes the connection. */
+    void onClosing(Runnable action) {
+        closingListener = action;
+    }
+
     HttpServerRequest request() {
         return request;
     }
@@ -147,6 +153,9 @@
 
     /** Ends the answer. A requested close is announced in the headers if they are not sent yet. */
     private void end(Buffer last, boolean close) {
+        if (close) {
+            closingListener.run();
+        }
         if (close && !response().headWritten()) {
             response().putHeader("connection", "close");
         }
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -1,12 +1,16 @@
 package org.bramleylatch.gateway;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -39,6 +43,8 @@
     private final IntSupplier maxBodyBytes;
     private final BooleanSupplier draining;
     private final Map<RequestId, CallerExchange> exchanges = new HashMap<>();
+    private final Set<HttpConnection> closingConnections =
+            Collections.newSetFromMap(new WeakHashMap<>());
     private final OrphanCheck<RequestId> orphanCheck = new OrphanCheck<>();
     private final MessageHandlers<RouterOutput> handlers = handlers();
     private long requestCount;
@@ -68,9 +74,13 @@
 
     /**
      * Reads a request and passes it to the router; a body over the limit at the request's start is
-     * refused.
+     * refused. A request behind an answer that closes its connection can't be answered any more, so
+     * it is not passed on.
      */
     void handleRequest(HttpServerRequest request) {
+        if (closingConnections.contains(request.connection())) {
+            return;
+        }
         long arrivedMillis = clock.millis();
         int maxBytes = maxBodyBytes.getAsInt();
         Buffer body = Buffer.buffer();
@@ -141,11 +151,11 @@
             if (body.length() > maxBytes) {
                 throw ResultException.of(ResultCode.BODY_TOO_LARGE, "body");
             }
-            openExchange(new CallerExchange(request, head, body, arrivedMillis));
+            openExchange(newExchange(request, head, body, arrivedMillis));
         } catch (ResultException refused) {
             metrics.countRefusal(refused.code());
             CallerExchange exchange =
-                    new CallerExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
+                    newExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
             exchange.refuse(
                     new RouterOutput.Refuse(
                             RequestId.of(""),
@@ -156,6 +166,13 @@
         }
     }
 
+    private CallerExchange newExchange(
+            HttpServerRequest request, CallerRequestHead head, Buffer body, long arrivedMillis) {
+        CallerExchange exchange = new CallerExchange(request, head, body, arrivedMillis);
+        exchange.onClosing(() -> closingConnections.add(request.connection()));
+        return exchange;
+    }
+
     private void openExchange(CallerExchange exchange) {
         requestCount++;
         RequestId id = RequestId.of(exchange.head().id() + "~" + requestCount);
