--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -1,12 +1,16 @@
 package org.bramleylatch.gateway;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -41,6 +45,8 @@
     private final BooleanSupplier draining;
     private final AnswerWrites writes = new AnswerWrites();
     private final Map<RequestId, CallerExchange> exchanges = new HashMap<>();
+    private final Set<HttpConnection> closingConnections =
+            Collections.newSetFromMap(new WeakHashMap<>());
     private final OrphanCheck<RequestId> orphanCheck = new OrphanCheck<>();
     private final MessageHandlers<RouterOutput> handlers = handlers();
     private long requestCount;
@@ -68,18 +74,26 @@
         this.draining = draining;
     }
 
-    /** Reads a request and passes it to the router; a body over the limit is refused. */
+    /**
+     * Reads a request and passes it to the router; a body over the limit at the request's start is
+     * refused. A request behind an answer that closes its connection can't be answered any more, so
+     * it is not passed on.
+     */
     void handleRequest(HttpServerRequest request) {
+        if (closingConnections.contains(request.connection())) {
+            return;
+        }
         long arrivedMillis = clock.millis();
+        int maxBytes = maxBodyBytes.getAsInt();
         Buffer body = Buffer.buffer();
         request.handler(
                 bytes -> {
-                    if (body.length() <= maxBodyBytes.getAsInt()) {
+                    if (body.length() <= maxBytes) {
                         body.appendBuffer(bytes);
                     }
                 });
         request.exceptionHandler(failure -> onBrokenRequest.run());
-        request.endHandler(end -> readRequest(request, body, arrivedMillis));
+        request.endHandler(end -> readRequest(request, body, maxBytes, arrivedMillis));
     }
 
     /** Returns the exchange of a request; empty once it was answered or its caller disconnected. */
@@ -156,18 +170,18 @@
         }
     }
 
-    private void readRequest(HttpServerRequest request, Buffer body, long arrivedMillis) {
+    private void readRequest(
+            HttpServerRequest request, Buffer body, int maxBytes, long arrivedMillis) {
         try {
             CallerRequestHead head = CallerRequestHead.of(request);
-            if (body.length() > maxBodyBytes.getAsInt()) {
+            if (body.length() > maxBytes) {
                 throw ResultException.of(ResultCode.BODY_TOO_LARGE, "body");
             }
-            openExchange(new CallerExchange(request, head, body, arrivedMillis, writes));
+            openExchange(newExchange(request, head, body, arrivedMillis));
         } catch (ResultException refused) {
             metrics.countRefusal(refused.code());
             CallerExchange exchange =
-                    new CallerExchange(
-                            request, CallerRequestHead.empty(), body, arrivedMillis, writes);
+                    newExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
             exchange.refuse(
                     new RouterOutput.Refuse(
                             RequestId.of(""),
@@ -178,6 +192,13 @@
         }
     }
 
+    private CallerExchange newExchange(
+            HttpServerRequest request, CallerRequestHead head, Buffer body, long arrivedMillis) {
+        CallerExchange exchange = new CallerExchange(request, head, body, arrivedMillis, writes);
+        exchange.onClosing(() -> closingConnections.add(request.connection()));
+        return exchange;
+    }
+
     private void openExchange(CallerExchange exchange) {
         requestCount++;
         RequestId id = RequestId.of(exchange.head().id() + "~" + requestCount);
