Log when a caller's answer begins and how it ended

From the log, a request whose answer was written could not be told from one whose connection closed, nor who closed it: REQUEST_FINISHED and REQUEST_REFUSED say what the router decided, before anything is written.

Change: ANSWER_STARTED when the first event of a stream is written, ANSWER_ENDED when nothing more will be: complete with its status, end not written, or connection closed by the caller or by the router and why. Both carry request=ID~N and go through the event log and its limit.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -8,6 +8,10 @@
     REQUEST_ARRIVED,
     REQUEST_FINISHED,
     REQUEST_REFUSED,
+    /** The first event of a streamed answer was written to the caller. */
+    ANSWER_STARTED,
+    /** Nothing more is written to the caller: the answer is complete or its connection closed. */
+    ANSWER_ENDED,
     ATTEMPT_STARTED,
     ATTEMPT_ENDED,
     ATTEMPT_FAILED,
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -61,6 +61,13 @@
         return started;
     }
 
+    /** Returns the status of the answer; empty if its head is not written. */
+    Optional<Integer> sentStatus() {
+        return Optional.of(response())
+                .filter(HttpServerResponse::headWritten)
+                .map(HttpServerResponse::getStatusCode);
+    }
+
     /** Returns the id of the last event that was sent; empty if there is none or it has no id. */
     OptionalLong lastEventId() {
         return lastEventId;
@@ -91,38 +98,36 @@
      * Ends a streamed answer as complete.
      *
      * @param close whether to close the connection after it
+     * @return completes once the end is written
      */
-    void endStream(boolean close) {
+    Future<Void> endStream(boolean close) {
         startStream();
-        end(Buffer.buffer(), close);
+        return end(Buffer.buffer(), close);
     }
 
     /**
      * Sends a whole answer with the headers that the endpoint set.
      *
      * @param close whether to close the connection after it
+     * @return completes once the answer is written
      * @throws IllegalStateException if a streamed answer has started
      */
-    void sendWhole(int status, String text, boolean close) {
-        if (started) {
-            throw new IllegalStateException("whole answer after the beginning of a stream");
-        }
+    Future<Void> sendWhole(int status, String text, boolean close) {
+        requireNotStarted();
         response().setStatusCode(status);
         answerHead.ifPresent(newest -> newest.forwardHeaders(response().headers()));
-        end(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)), close);
+        return end(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)), close);
     }
 
     /**
-     * Answers with a problem document. If a streamed answer has started, closes the connection
-     * instead, so that the caller sees an incomplete answer.
+     * Answers with a problem document.
      *
      * @param close whether to close the connection after the problem document
+     * @return completes once the problem document is written
+     * @throws IllegalStateException if a streamed answer has started
      */
-    void refuse(RouterOutput.Refuse refusal, boolean close) {
-        if (started) {
-            closeConnection();
-            return;
-        }
+    Future<Void> refuse(RouterOutput.Refuse refusal, boolean close) {
+        requireNotStarted();
         int status = httpStatus(refusal.code(), refusal.runState());
         if (status == STATUS_UNAVAILABLE) {
             long millis =
@@ -132,7 +137,7 @@
         }
         response().setStatusCode(status).putHeader("content-type", "application/problem+json");
         Problem problem = Problem.of(refusal.code(), refusal.runState(), refusal.detail());
-        end(Buffer.buffer(Json.write(problem)), close);
+        return end(Buffer.buffer(Json.write(problem)), close);
     }
 
     /** Closes the connection; an answer that has not ended looks incomplete to the caller. */
@@ -148,6 +153,12 @@
                 : code.httpStatus();
     }
 
+    private void requireNotStarted() {
+        if (started) {
+            throw new IllegalStateException("whole answer after the beginning of a stream");
+        }
+    }
+
     private void startStream() {
         if (!started) {
             started = true;
@@ -160,7 +171,7 @@
     }
 
     /** Ends the answer. A requested close is announced in the headers if they are not sent yet. */
-    private void end(Buffer last, boolean close) {
+    private Future<Void> end(Buffer last, boolean close) {
         if (close && !response().headWritten()) {
             response().putHeader("connection", "close");
         }
@@ -170,6 +181,7 @@
         } else {
             sent.onFailure(failure -> closeConnection());
         }
+        return sent;
     }
 
     private HttpServerResponse response() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.gateway;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
@@ -8,8 +9,11 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import org.bramleylatch.core.Call;
+import org.bramleylatch.core.Event;
+import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.MessageHandlers;
 import org.bramleylatch.core.RequestId;
 import org.bramleylatch.core.RequestKey;
@@ -28,11 +32,13 @@
 /** Serves callers over HTTP: passes their requests to the router and the router's answers back. */
 final class CallerServer {
     private static final Logger LOG = LoggerFactory.getLogger(CallerServer.class);
+    private static final String CLOSED_BY_CALLER = "connection closed by the caller";
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
 
     private final InstantSource clock;
     private final Consumer<RouterInput> inbox;
     private final RequestMetrics metrics;
+    private final Consumer<Event> events;
     private final Runnable onBrokenRequest;
     private final IntSupplier maxBodyBytes;
     private final BooleanSupplier draining;
@@ -43,6 +49,7 @@
     /**
      * Creates the server; requests arrive through {@link #handleRequest}.
      *
+     * @param events receives an event when an answer begins and when nothing more is written
      * @param onBrokenRequest runs for each request whose connection failed before the request was
      *     read completely
      * @param draining returns true while each connection is to be closed after its next answer, so
@@ -52,12 +59,14 @@
             InstantSource clock,
             Consumer<RouterInput> inbox,
             RequestMetrics metrics,
+            Consumer<Event> events,
             Runnable onBrokenRequest,
             IntSupplier maxBodyBytes,
             BooleanSupplier draining) {
         this.clock = clock;
         this.inbox = inbox;
         this.metrics = metrics;
+        this.events = events;
         this.onBrokenRequest = onBrokenRequest;
         this.maxBodyBytes = maxBodyBytes;
         this.draining = draining;
@@ -107,8 +116,37 @@
     }
 
     /** Writes the end of an answer; nothing follows to this caller. */
-    private void finish(RequestId id, Consumer<CallerExchange> end) {
-        closeExchange(id).ifPresent(exchange -> write(id, exchange, end));
+    private void finish(RequestId id, Function<CallerExchange, Future<Void>> end) {
+        closeExchange(id)
+                .ifPresent(exchange -> write(id, exchange, e -> noteWritten(id, e, end.apply(e))));
+    }
+
+    private void noteWritten(RequestId id, CallerExchange exchange, Future<Void> written) {
+        written.onSuccess(done -> noteEnd(id, exchange, "complete"))
+                .onFailure(
+                        failure ->
+                                noteEnd(id, exchange, "end not written: " + failure.getMessage()));
+    }
+
+    /** Closes the connection, so that the caller does not take the answer for a complete one. */
+    private void breakOff(RequestId id, CallerExchange exchange, String reason) {
+        noteEnd(id, exchange, "connection closed by the router: " + reason);
+        exchange.closeConnection();
+    }
+
+    private void noteEnd(RequestId id, CallerExchange exchange, String outcome) {
+        note(
+                EventKind.ANSWER_ENDED,
+                id,
+                exchange,
+                exchange.sentStatus().map(status -> " status=" + status).orElse("")
+                        + " "
+                        + outcome);
+    }
+
+    private void note(EventKind kind, RequestId id, CallerExchange exchange, String detail) {
+        long ageMillis = clock.millis() - exchange.arrivedMillis();
+        events.accept(Event.of(kind, id, "request=" + id + " ageMillis=" + ageMillis + detail));
     }
 
     /**
@@ -121,7 +159,7 @@
             LOG.error("answer of request={} could not be written, connection closed", id, failure);
             closeExchange(id);
             inbox.accept(new RouterInput.CallerDisconnected(id));
-            exchange.closeConnection();
+            breakOff(id, exchange, "answer could not be written");
         }
     }
 
@@ -175,7 +213,11 @@
 
     private void handleDisconnect(RequestId id) {
         closeExchange(id)
-                .ifPresent(exchange -> inbox.accept(new RouterInput.CallerDisconnected(id)));
+                .ifPresent(
+                        exchange -> {
+                            noteEnd(id, exchange, CLOSED_BY_CALLER);
+                            inbox.accept(new RouterInput.CallerDisconnected(id));
+                        });
     }
 
     private void handleFailure(RequestId id, CallerExchange exchange) {
@@ -196,10 +238,12 @@
     }
 
     private void deliver(CallerExchange exchange, RouterOutput.DeliverTokens deliver) {
-        if (!exchange.isStarted()) {
+        boolean isFirst = !exchange.isStarted();
+        exchange.sendEvent(deliver.text());
+        if (isFirst) {
             metrics.observeFirstTokenMillis(clock.millis() - exchange.arrivedMillis());
+            note(EventKind.ANSWER_STARTED, deliver.request(), exchange, "");
         }
-        exchange.sendEvent(deliver.text());
         if (exchange.request().response().writeQueueFull()) {
             inbox.accept(new RouterInput.CallerPaused(deliver.request(), true));
             exchange.request()
@@ -214,7 +258,12 @@
 
     private void refuse(RouterOutput.Refuse refuse) {
         metrics.countRefusal(refuse.code());
-        finish(refuse.request(), exchange -> exchange.refuse(refuse, isDraining()));
+        RequestId id = refuse.request();
+        if (findExchange(id).filter(CallerExchange::isStarted).isPresent()) {
+            closeExchange(id).ifPresent(begun -> breakOff(id, begun, refuse.code().name()));
+        } else {
+            finish(id, exchange -> exchange.refuse(refuse, isDraining()));
+        }
     }
 
     private boolean isDraining() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -167,6 +167,7 @@
                 clock,
                 routerLoop::offer,
                 metrics,
+                this::recordEvent,
                 brokenRequests::inc,
                 () -> configurationReceiver.latest().maxBodyBytes(),
                 () -> draining);
--- a/gateway/src/test/java/org/bramleylatch/gateway/RawCaller.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RawCaller.java
@@ -29,6 +29,15 @@
         }
     }
 
+    /** Sends a request and closes the connection once the first bytes of the answer arrived. */
+    static void callAndLeave(int port, String path) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            RawEndpoint.write(socket, head(path, Map.of()));
+            socket.getInputStream().read();
+        }
+    }
+
     private static String head(String path, Map<String, String> headers) {
         StringBuilder head =
                 new StringBuilder("POST " + path + " HTTP/1.1\r\nhost: ropes.example\r\n")
