--- a/gateway/src/test/java/org/bramleylatch/gateway/BodyLimitChangeTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/BodyLimitChangeTest.java
@@ -37,6 +37,7 @@
                     InstantSource.system(),
                     inbox::add,
                     new RequestMetrics(new PrometheusRegistry(), "test"),
+                    event -> {},
                     () -> {},
                     maxBodyBytes::get,
                     () -> false);
--- a/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
@@ -50,6 +50,7 @@
                     InstantSource.system(),
                     inbox::add,
                     new RequestMetrics(new PrometheusRegistry(), "test"),
+                    event -> {},
                     () -> {},
                     () -> 1_000,
                     () -> false);
--- a/gateway/src/test/java/org/bramleylatch/gateway/PipelinedRequestTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/PipelinedRequestTest.java
@@ -78,6 +78,7 @@
                         InstantSource.system(),
                         inbox::add,
                         new RequestMetrics(new PrometheusRegistry(), "test"),
+                        event -> {},
                         () -> {},
                         () -> 1_000,
                         () -> false);
