Keep the clients of the gateway's test harness reachable

A test of the gateway failed once beside load: GatewayTest.theEndpointReceivesTheWorkspaceThatPaysButNotTheApiKey, "IllegalStateException: Resource manager closed" in HttpClientImpl.request, called by GatewayHarness.send. No logic of the gateway is involved.

Cause: the harness created a client for each call and kept no reference to it. The runtime closes a client that the garbage collector finds unreachable, before the request is sent or while its answer is awaited; the call then fails with that message or with "Connection was closed".

Evidence: a trial that collects garbage all the while made 80 of 200 calls fail. With the clients held, a gentler trial (a collection every 5 ms) had 0 failures in 40 calls; the first trial was not repeated to its end.

Change: the harness holds each client until it ends itself. Each call still has a connection of its own.

--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
@@ -39,6 +40,10 @@
 
     final Vertx vertx = Vertx.vertx();
     final List<HttpServerRequest> receivedRequests = new CopyOnWriteArrayList<>();
+
+    /** Holds the callers' clients, since the runtime closes one that is not reachable. */
+    private final List<HttpClient> callerClients = new CopyOnWriteArrayList<>();
+
     private final List<RawEndpoint> rawEndpoints = new ArrayList<>();
     private LoopbackStore store;
     private GatewayDaemon gateway;
@@ -158,8 +163,9 @@
     }
 
     private Answer send(RequestOptions options) throws Exception {
-        return vertx.createHttpClient()
-                .request(options)
+        HttpClient client = vertx.createHttpClient();
+        callerClients.add(client);
+        return client.request(options)
                 .compose(request -> request.send(Buffer.buffer("body")))
                 .compose(response -> response.body().map(body -> Answer.of(response, body)))
                 .toCompletionStage()
