Attribute an answer without a request id to the first request of a connection only

Callers were told "not run, try again" for requests that an endpoint was running, or got the answer to another request: a faulty endpoint wrote an answer without a request id ahead of the real one, on a connection that had carried a request before. On the word of a 421 like that the router also removed a sound endpoint.

Cause: EndpointAnswerHead.isAnswerTo took any answer that is no success and has no id for the current request's.

Evidence, before the change (LateCopyTest): aRefusalWithoutAnIdOnAUsedConnectionDoesNotSayThatTheRequestDidNotRun: expected: 502 but was: 503 anEndpointIsNotReplacedOnTheWordOfACopy: expected: 502 but was: 503 anAnswerWithoutAnIdOnAUsedConnectionIsNotPassedOn: expected: 502 but was: 302, 404, 408

Change: AnswerEvidence (core) decides from the id, the signature, the status and the number of requests that the connection has carried. ATTEMPT_FAILED says "refused the request" or "answer is not known to be the request's", with status, id and connectionUses.

Price: an endpoint that never echoes ids is not believed on a kept connection: a request that may be repeated goes to another endpoint, or gets 502 where there is none. Refusals with the request's id count as before.

--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
@@ -0,0 +1,57 @@
+package org.bramleylatch.core;
+
+import java.util.Optional;
+
+/**
+ * Holds what the head of an answer and its connection show about the request that it answers. A
+ * faulty endpoint may write an answer a second time, after the next request was sent on the
+ * connection.
+ *
+ * @param status the HTTP status
+ * @param answeredId the id of the request that the answer names, if any
+ * @param signed true if the answer carries the endpoint's signature
+ * @param reportsNotRun true if the endpoint states that it has not run the request
+ * @param connectionUses the number of requests sent on the connection so far, at least 1
+ */
+public record AnswerEvidence(
+        int status,
+        Optional<String> answeredId,
+        boolean signed,
+        boolean reportsNotRun,
+        int connectionUses) {
+    private static final int OK = 200;
+    private static final int FIRST_REDIRECT = 300;
+
+    /** Decides what the answer means for the request with the given id. */
+    public AnswerVerdict judge(String requestId) {
+        if (!isAnswerTo(requestId)) {
+            return AnswerVerdict.UNATTRIBUTED;
+        }
+        return reportsNotRun ? AnswerVerdict.REFUSAL : AnswerVerdict.ANSWER;
+    }
+
+    /** Returns the evidence for a log line. */
+    public String describe() {
+        return "status="
+                + status
+                + " answeredId="
+                + answeredId.orElse("none")
+                + " connectionUses="
+                + connectionUses;
+    }
+
+    /**
+     * A success must name the request and carry the signature. Another answer may lack an id on a
+     * connection that has carried no earlier request, where no copy can arrive.
+     */
+    private boolean isAnswerTo(String requestId) {
+        boolean namesRequest = answeredId.filter(requestId::equals).isPresent();
+        return isSuccess()
+                ? namesRequest && signed
+                : namesRequest || (answeredId.isEmpty() && connectionUses == 1);
+    }
+
+    private boolean isSuccess() {
+        return status >= OK && status < FIRST_REDIRECT;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/AnswerVerdict.java
@@ -0,0 +1,11 @@
+package org.bramleylatch.core;
+
+/** Says what an answer that arrived for an attempt means for its request. */
+public enum AnswerVerdict {
+    /** Answers the request. */
+    ANSWER,
+    /** Proves that the endpoint has not run the request. */
+    REFUSAL,
+    /** Is not known to answer the request; the endpoint may run it. */
+    UNATTRIBUTED
+}
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.bramleylatch.core.AnswerEvidence;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.RouterInput;
@@ -60,8 +61,10 @@
 
     /**
      * Sends the request on an open connection, or resets it if the call was cancelled meanwhile.
+     *
+     * @param connectionUses the number of requests on the connection, this one included
      */
-    void send(HttpClientRequest newRequest) {
+    void send(HttpClientRequest newRequest, int connectionUses) {
         request = Optional.of(newRequest);
         if (finished) {
             newRequest.reset();
@@ -70,7 +73,7 @@
         newRequest.exceptionHandler(failure -> loseConnection("request failed: " + failure));
         newRequest
                 .response()
-                .onSuccess(this::receiveHead)
+                .onSuccess(answer -> receiveHead(answer, connectionUses))
                 .onFailure(failure -> loseConnection("no answer: " + failure));
         newRequest.end(exchange.body());
     }
@@ -97,7 +100,7 @@
         response.ifPresent(answer -> pauseOrResume(answer, paused));
     }
 
-    private void receiveHead(HttpClientResponse answer) {
+    private void receiveHead(HttpClientResponse answer, int connectionUses) {
         if (finished) {
             return;
         }
@@ -108,29 +111,36 @@
             inbox.accept(
                     new RouterInput.RateLimitObserved(endpoint, head.requestsPerSecondLimit()));
         }
-        if (!head.isAnswerTo(exchange.head().id())) {
-            closeConnection();
-            fail(RunState.UNKNOWN, "answer does not match the request");
-        } else if (head.reportsNotRun()) {
-            handleRefusal(head, answer.statusCode());
+        AnswerEvidence evidence = head.evidence(connectionUses);
+        Runnable handler =
+                switch (evidence.judge(exchange.head().id())) {
+                    case ANSWER -> () -> readAnswer(answer, head);
+                    case REFUSAL -> () -> handleRefusal(head, evidence);
+                    case UNATTRIBUTED -> () -> dropAnswer(evidence);
+                };
+        handler.run();
+    }
+
+    private void readAnswer(HttpClientResponse answer, EndpointAnswerHead head) {
+        exchange.setAnswerHead(head);
+        if (head.isEventStream()) {
+            readStream(answer, head.endsWithConnection());
         } else {
-            exchange.setAnswerHead(head);
-            if (head.isEventStream()) {
-                readStream(answer, head.endsWithConnection());
-            } else {
-                readWhole(answer);
-            }
+            readWhole(answer);
         }
     }
 
-    private void handleRefusal(EndpointAnswerHead head, int status) {
-        finished = true;
+    private void handleRefusal(EndpointAnswerHead head, AnswerEvidence evidence) {
         closeConnection();
         if (head.isMisdirected()) {
             inbox.accept(new RouterInput.EndpointReplaced(endpoint));
         }
-        String detail = "endpoint refused the request with status " + status;
-        inbox.accept(new RouterInput.AttemptFailed(attempt, RunState.NOT_RUN, detail));
+        fail(RunState.NOT_RUN, "refused the request: " + evidence.describe());
+    }
+
+    private void dropAnswer(AnswerEvidence evidence) {
+        closeConnection();
+        fail(RunState.UNKNOWN, "answer is not known to be the request's: " + evidence.describe());
     }
 
     /**
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -52,6 +52,7 @@
     private final HttpClient singleUseClient;
     private final NetClient probeClient;
     private final ByteBudget bufferBudget = new ByteBudget(MAX_BUFFERED_BYTES);
+    private final ConnectionUses uses = new ConnectionUses();
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
 
     /**
@@ -113,7 +114,7 @@
         calls.put(start.attempt(), call);
         clientFor(spec.get())
                 .request(requestOptions(exchange.get(), spec.get(), entry.get()))
-                .onSuccess(call::send)
+                .onSuccess(request -> call.send(request, uses.count(request.connection())))
                 .onFailure(call::connectionFailed);
     }
 
--- a/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
@@ -5,11 +5,14 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.bramleylatch.gateway.KeptConnectionEndpoint.Behavior;
 import org.bramleylatch.gateway.KeptConnectionEndpoint.Request;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against taking a late copy of an earlier answer for the answer to the request that follows
@@ -69,6 +72,84 @@
         assertThat(endpoint.requests()).extracting(Request::use).containsOnly(1);
     }
 
+    @Test
+    void aRefusalWithoutAnIdOnAUsedConnectionDoesNotSayThatTheRequestDidNotRun() throws Exception {
+        addEndpointThatWritesBeforeTheSecondAnswer(refusal(503, ""));
+        harness.callWithId("/chat/1", "request-1");
+        assertThat(harness.callWithId("/chat/1", "request-2").status()).isEqualTo(502);
+    }
+
+    @Test
+    void aRefusalWithoutAnIdOnANewConnectionSaysThatTheRequestDidNotRun() throws Exception {
+        addRefusingEndpoint(refusal(503, ""), "");
+        assertThat(harness.call("/chat/1").status()).isEqualTo(503);
+    }
+
+    @Test
+    void aRefusalWithTheRequestsIdOnAUsedConnectionSaysThatTheRequestDidNotRun() throws Exception {
+        addEndpointThatWritesBeforeTheSecondAnswer(refusal(503, id("request-2")));
+        harness.callWithId("/chat/1", "request-1");
+        assertThat(harness.callWithId("/chat/1", "request-2").status()).isEqualTo(503);
+    }
+
+    @Test
+    void anEndpointIsNotReplacedOnTheWordOfACopy() throws Exception {
+        addEndpointThatWritesBeforeTheSecondAnswer(refusal(421, ""));
+        harness.callWithId("/chat/1", "request-1");
+        assertThat(harness.callWithId("/chat/1", "request-2").status()).isEqualTo(502);
+        assertThat(harness.callWithId("/chat/1", "request-3").status()).isEqualTo(200);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {302, 404, 408})
+    void anAnswerWithoutAnIdOnAUsedConnectionIsNotPassedOn(int status) throws Exception {
+        addEndpointThatWritesBeforeTheSecondAnswer(whole(status, ""));
+        harness.callWithId("/chat/1", "request-1");
+        assertThat(harness.callWithId("/chat/1", "request-2").status()).isEqualTo(502);
+    }
+
+    @Test
+    void aRequestThatMayBeRepeatedGoesToAnotherEndpointAfterACopy() throws Exception {
+        AtomicBoolean copied = new AtomicBoolean();
+        Behavior behavior =
+                (request, socket) -> {
+                    if (request.use() > 1 && copied.compareAndSet(false, true)) {
+                        RawEndpoint.write(socket, whole(404, ""));
+                        Thread.sleep(50);
+                    }
+                    RawEndpoint.write(socket, stream(request));
+                };
+        endpoints.add(KeptConnectionEndpoint.add(harness, "llm", "i-2", behavior));
+        addEndpoint(behavior);
+        for (int call = 1; call <= 4; call++) {
+            assertThat(harness.callWithId("/chat/1", "request-" + call).status()).isEqualTo(200);
+        }
+        assertThat(copied).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {302, 404, 500})
+    void anAnswerWithAnotherIdIsNotPassedOnAndItsConnectionIsClosed(int status) throws Exception {
+        KeptConnectionEndpoint endpoint =
+                addEndpointThatWritesBeforeTheSecondAnswer(whole(status, id("request-1")));
+        harness.callWithId("/chat/1", "request-1");
+        assertThat(harness.callWithId("/chat/1", "request-2").status()).isEqualTo(502);
+        assertThat(harness.callWithId("/chat/1", "request-3").status()).isEqualTo(200);
+        assertThat(endpoint.requests()).extracting(Request::use).containsExactly(1, 2, 1);
+    }
+
+    private KeptConnectionEndpoint addEndpointThatWritesBeforeTheSecondAnswer(String bytes)
+            throws Exception {
+        return addEndpoint(
+                (request, socket) -> {
+                    if (request.use() == 2) {
+                        RawEndpoint.write(socket, bytes);
+                        Thread.sleep(50);
+                    }
+                    RawEndpoint.write(socket, stream(request));
+                });
+    }
+
     /** Refuses the first request; writes a copy after the next one arrived on its connection. */
     private void assertThatACopyAnswersNothing(String refusal) throws Exception {
         addEndpoint(
