Close the connection of a failed answer at its end

A request that may be repeated could get a copy of its own failed answer: an endpoint answered 500, the router tried once more with the same request id at the same endpoint, and on the same connection. A copy of the 500 would have been taken for the answer to the second run, which no id can tell from it.

Cause: every answer that was read to its end left its connection in the pool, whatever its status.

Evidence, before the change (LateCopyTest.aConnectionThatHasCarriedAFailureCarriesNoFurtherRequest), uses of the connections: [1, 2] for 302 and 404, [1, 2, 3] for 500, with the second run of the request on its first connection; expected only [1].

Change: only a success keeps its connection (AnswerEvidence.keepsConnection). The runtime's graceful shutdown begins when the head arrives and closes the connection at the answer's end, before the pool gets it back, also if the answer is paused; the body still reaches the caller.

Price: one new connection after each 3xx, 4xx or 5xx of a service. Successes keep theirs (tested).

--- a/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
@@ -30,6 +30,11 @@
         return reportsNotRun ? AnswerVerdict.REFUSAL : AnswerVerdict.ANSWER;
     }
 
+    /** Returns true if the connection may carry a further request after the answer. */
+    public boolean keepsConnection() {
+        return isSuccess();
+    }
+
     /** Returns the evidence for a log line. */
     public String describe() {
         return "status="
--- a/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
+++ b/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
@@ -51,6 +51,13 @@
         assertThat(judge(503, OTHER, false, true, 1)).isEqualTo(AnswerVerdict.UNATTRIBUTED);
     }
 
+    @Test
+    void onlyASuccessKeepsItsConnection() {
+        assertThat(new AnswerEvidence(204, SAME, true, false, 1).keepsConnection()).isTrue();
+        assertThat(new AnswerEvidence(404, SAME, true, false, 1).keepsConnection()).isFalse();
+        assertThat(new AnswerEvidence(102, SAME, true, false, 1).keepsConnection()).isFalse();
+    }
+
     private static AnswerVerdict judge(
             int status,
             Optional<String> answeredId,
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bramleylatch.core.AnswerEvidence;
 import org.bramleylatch.core.AttemptId;
@@ -20,6 +21,9 @@
     /** Larger than any answer that is not streamed; such an answer is held until its end. */
     private static final int MAX_WHOLE_BYTES = 1024 * 1024;
 
+    /** Bounds the time that an endpoint may take to send a failure. */
+    private static final int MAX_FAILURE_SECONDS = 300;
+
     private final AttemptId attempt;
     private final EndpointId endpoint;
     private final CallerExchange exchange;
@@ -114,14 +118,18 @@
         AnswerEvidence evidence = head.evidence(connectionUses);
         Runnable handler =
                 switch (evidence.judge(exchange.head().id())) {
-                    case ANSWER -> () -> readAnswer(answer, head);
+                    case ANSWER -> () -> readAnswer(answer, head, evidence.keepsConnection());
                     case REFUSAL -> () -> handleRefusal(head, evidence);
                     case UNATTRIBUTED -> () -> dropAnswer(evidence);
                 };
         handler.run();
     }
 
-    private void readAnswer(HttpClientResponse answer, EndpointAnswerHead head) {
+    private void readAnswer(
+            HttpClientResponse answer, EndpointAnswerHead head, boolean keepsConnection) {
+        if (!keepsConnection) {
+            retireConnection();
+        }
         exchange.setAnswerHead(head);
         if (head.isEventStream()) {
             readStream(answer, head.endsWithConnection());
@@ -143,6 +151,15 @@
         fail(RunState.UNKNOWN, "answer is not known to be the request's: " + evidence.describe());
     }
 
+    /**
+     * Closes the connection at the end of the answer, before the pool can hand it out again, since
+     * a late copy may follow on it.
+     */
+    private void retireConnection() {
+        request.ifPresent(
+                sent -> sent.connection().shutdown(MAX_FAILURE_SECONDS, TimeUnit.SECONDS));
+    }
+
     /**
      * Closes the connection before the pool can hand it out again, since a late copy of the answer
      * may follow on it.
--- a/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
@@ -138,6 +138,29 @@
         assertThat(endpoint.requests()).extracting(Request::use).containsExactly(1, 2, 1);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {302, 404, 500})
+    void aConnectionThatHasCarriedAFailureCarriesNoFurtherRequest(int status) throws Exception {
+        KeptConnectionEndpoint endpoint =
+                addEndpoint(
+                        (request, socket) ->
+                                RawEndpoint.write(socket, whole(status, id(request.id()))));
+        GatewayHarness.Answer answer = harness.call("/chat/1");
+        harness.call("/chat/1");
+        assertThat(answer.status()).isEqualTo(status);
+        assertThat(answer.body()).isEqualTo("no");
+        assertThat(endpoint.requests()).extracting(Request::use).containsOnly(1);
+    }
+
+    @Test
+    void aConnectionThatHasCarriedASuccessCarriesTheNextRequest() throws Exception {
+        KeptConnectionEndpoint endpoint =
+                addEndpoint((request, socket) -> RawEndpoint.write(socket, stream(request)));
+        harness.call("/chat/1");
+        harness.call("/chat/1");
+        assertThat(endpoint.requests()).extracting(Request::use).containsExactly(1, 2);
+    }
+
     private KeptConnectionEndpoint addEndpointThatWritesBeforeTheSecondAnswer(String bytes)
             throws Exception {
         return addEndpoint(
