Pass no status on that promises "not run" without the endpoint's statement

Callers were told "not run, try again" on the word of an answer that doesn't say so: an endpoint's 408, 429 or 503 without its statement that it did not run the request went to the caller as it was, and callers take these statuses for a promise. A 1xx that the runtime doesn't know went to the caller as if it were the whole answer.

Cause: whatever was no refusal with the statement counted as the service's own answer, whose status is passed on.

Evidence, before the change (LateCopyTest): aStatusThatPromisesNotRunIsNotPassedOnWithoutTheEndpointsStatement: expected: 502 but was: 408, 429, 503 anInterimAnswerIsNotPassedOn: expected: 502 but was: 102, 199

Change: AnswerEvidence judges both as UNPROVEN: the connection is closed, the outcome is unknown, a request that may be repeated goes to another endpoint, and the caller gets 502 if there is none.

--- a/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
@@ -1,6 +1,7 @@
 package org.bramleylatch.core;
 
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Holds what the head of an answer and its connection show about the request that it answers. A
@@ -19,6 +20,9 @@
         boolean signed,
         boolean reportsNotRun,
         int connectionUses) {
+    /** Statuses that promise callers that the request has not run and never will. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
     private static final int OK = 200;
     private static final int FIRST_REDIRECT = 300;
 
@@ -27,7 +31,12 @@
         if (!isAnswerTo(requestId)) {
             return AnswerVerdict.UNATTRIBUTED;
         }
-        return reportsNotRun ? AnswerVerdict.REFUSAL : AnswerVerdict.ANSWER;
+        if (reportsNotRun) {
+            return AnswerVerdict.REFUSAL;
+        }
+        return isInterim() || NOT_RUN_STATUSES.contains(status)
+                ? AnswerVerdict.UNPROVEN
+                : AnswerVerdict.ANSWER;
     }
 
     /** Returns true if the connection may carry a further request after the answer. */
@@ -56,6 +65,10 @@
                 : namesRequest || (answeredId.isEmpty() && connectionUses == 1);
     }
 
+    private boolean isInterim() {
+        return status < OK;
+    }
+
     private boolean isSuccess() {
         return status >= OK && status < FIRST_REDIRECT;
     }
--- a/core/src/main/java/org/bramleylatch/core/AnswerVerdict.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerVerdict.java
@@ -7,5 +7,10 @@
     /** Proves that the endpoint has not run the request. */
     REFUSAL,
     /** Is not known to answer the request; the endpoint may run it. */
-    UNATTRIBUTED
+    UNATTRIBUTED,
+    /**
+     * Is not final, or has a status that promises that the request did not run without the
+     * endpoint's statement that it did not; the endpoint may run it.
+     */
+    UNPROVEN
 }
--- a/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
+++ b/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
@@ -51,6 +51,18 @@
         assertThat(judge(503, OTHER, false, true, 1)).isEqualTo(AnswerVerdict.UNATTRIBUTED);
     }
 
+    @Test
+    void aStatusThatPromisesNotRunWithoutTheEndpointsStatementProvesNothing() {
+        for (int status : new int[] {408, 421, 429, 503}) {
+            assertThat(judge(status, SAME, true, false, 1)).isEqualTo(AnswerVerdict.UNPROVEN);
+        }
+    }
+
+    @Test
+    void anInterimAnswerProvesNothing() {
+        assertThat(judge(102, SAME, true, false, 1)).isEqualTo(AnswerVerdict.UNPROVEN);
+    }
+
     @Test
     void onlyASuccessKeepsItsConnection() {
         assertThat(new AnswerEvidence(204, SAME, true, false, 1).keepsConnection()).isTrue();
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -120,7 +120,10 @@
                 switch (evidence.judge(exchange.head().id())) {
                     case ANSWER -> () -> readAnswer(answer, head, evidence.keepsConnection());
                     case REFUSAL -> () -> handleRefusal(head, evidence);
-                    case UNATTRIBUTED -> () -> dropAnswer(evidence);
+                    case UNATTRIBUTED ->
+                            () -> dropAnswer("answer is not known to be the request's", evidence);
+                    case UNPROVEN ->
+                            () -> dropAnswer("answer does not say what became of it", evidence);
                 };
         handler.run();
     }
@@ -146,9 +149,9 @@
         fail(RunState.NOT_RUN, "refused the request: " + evidence.describe());
     }
 
-    private void dropAnswer(AnswerEvidence evidence) {
+    private void dropAnswer(String reason, AnswerEvidence evidence) {
         closeConnection();
-        fail(RunState.UNKNOWN, "answer is not known to be the request's: " + evidence.describe());
+        fail(RunState.UNKNOWN, reason + ": " + evidence.describe());
     }
 
     /**
--- a/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
@@ -161,6 +161,29 @@
         assertThat(endpoint.requests()).extracting(Request::use).containsExactly(1, 2);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void aStatusThatPromisesNotRunIsNotPassedOnWithoutTheEndpointsStatement(int status)
+            throws Exception {
+        addEndpoint(
+                (request, socket) -> RawEndpoint.write(socket, whole(status, id(request.id()))));
+        assertThat(harness.call("/chat/1").status()).isEqualTo(502);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {102, 199})
+    void anInterimAnswerIsNotPassedOn(int status) throws Exception {
+        addEndpoint(
+                (request, socket) -> {
+                    RawEndpoint.write(
+                            socket,
+                            "HTTP/1.1 " + status + " Interim\r\n" + id("request-1") + "\r\n");
+                    Thread.sleep(50);
+                    RawEndpoint.write(socket, stream(request));
+                });
+        assertThat(harness.call("/chat/1").status()).isEqualTo(502);
+    }
+
     private KeptConnectionEndpoint addEndpointThatWritesBeforeTheSecondAnswer(String bytes)
             throws Exception {
         return addEndpoint(
