--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -6,7 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.bramleylatch.core.AnswerEvidence;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.RouterInput;
@@ -19,6 +21,9 @@
     /** Larger than any answer that is not streamed; such an answer is held until its end. */
     private static final int MAX_WHOLE_BYTES = 1024 * 1024;
 
+    /** Bounds the time that an endpoint may take to send a failure. */
+    private static final int MAX_FAILURE_SECONDS = 300;
+
     private final AttemptId attempt;
     private final EndpointId endpoint;
     private final CallerExchange exchange;
@@ -61,8 +66,10 @@
 
     /**
      * Sends the request on an open connection, or resets it if the call was cancelled meanwhile.
+     *
+     * @param connectionUses the number of requests on the connection, this one included
      */
-    void send(HttpClientRequest newRequest) {
+    void send(HttpClientRequest newRequest, int connectionUses) {
         request = Optional.of(newRequest);
         if (finished) {
             newRequest.reset();
@@ -71,7 +78,7 @@
         newRequest.exceptionHandler(failure -> loseConnection("request failed: " + failure));
         newRequest
                 .response()
-                .onSuccess(this::receiveHead)
+                .onSuccess(answer -> receiveHead(answer, connectionUses))
                 .onFailure(failure -> loseConnection("no answer: " + failure));
         newRequest.end(exchange.body());
     }
@@ -98,7 +105,7 @@
         response.ifPresent(answer -> pauseOrResume(answer, paused));
     }
 
-    private void receiveHead(HttpClientResponse answer) {
+    private void receiveHead(HttpClientResponse answer, int connectionUses) {
         if (finished) {
             return;
         }
@@ -109,29 +116,52 @@
             inbox.accept(
                     new RouterInput.RateLimitObserved(endpoint, head.requestsPerSecondLimit()));
         }
-        if (!head.isAnswerTo(exchange.head().id())) {
-            closeConnection();
-            fail(RunState.UNKNOWN, "answer does not match the request");
-        } else if (head.reportsNotRun()) {
-            handleRefusal(head, answer.statusCode());
+        AnswerEvidence evidence = head.evidence(connectionUses);
+        Runnable handler =
+                switch (evidence.judge(exchange.head().id())) {
+                    case ANSWER -> () -> readAnswer(answer, head, evidence.keepsConnection());
+                    case REFUSAL -> () -> handleRefusal(head, evidence);
+                    case UNATTRIBUTED ->
+                            () -> dropAnswer("answer is not known to be the request's", evidence);
+                    case UNPROVEN ->
+                            () -> dropAnswer("answer does not say what became of it", evidence);
+                };
+        handler.run();
+    }
+
+    private void readAnswer(
+            HttpClientResponse answer, EndpointAnswerHead head, boolean keepsConnection) {
+        if (!keepsConnection) {
+            retireConnection();
+        }
+        exchange.setAnswerHead(head);
+        if (head.isEventStream()) {
+            readStream(answer, head.endsWithConnection());
         } else {
-            exchange.setAnswerHead(head);
-            if (head.isEventStream()) {
-                readStream(answer, head.endsWithConnection());
-            } else {
-                readWhole(answer);
-            }
+            readWhole(answer);
         }
     }
 
-    private void handleRefusal(EndpointAnswerHead head, int status) {
-        finished = true;
+    private void handleRefusal(EndpointAnswerHead head, AnswerEvidence evidence) {
         closeConnection();
         if (head.isMisdirected()) {
             inbox.accept(new RouterInput.EndpointReplaced(endpoint));
         }
-        String detail = "endpoint refused the request with status " + status;
-        inbox.accept(new RouterInput.AttemptFailed(attempt, RunState.NOT_RUN, detail));
+        fail(RunState.NOT_RUN, "refused the request: " + evidence.describe());
+    }
+
+    private void dropAnswer(String reason, AnswerEvidence evidence) {
+        closeConnection();
+        fail(RunState.UNKNOWN, reason + ": " + evidence.describe());
+    }
+
+    /**
+     * Closes the connection at the end of the answer, before the pool can hand it out again, since
+     * a late copy may follow on it.
+     */
+    private void retireConnection() {
+        request.ifPresent(
+                sent -> sent.connection().shutdown(MAX_FAILURE_SECONDS, TimeUnit.SECONDS));
     }
 
     /**
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -67,6 +67,7 @@
     private final HttpClient singleUseClient;
     private final NetClient probeClient;
     private final ByteBudget bufferBudget = new ByteBudget(MAX_BUFFERED_BYTES);
+    private final ConnectionUses uses = new ConnectionUses();
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
     private final OrphanCheck<AttemptId> orphanCheck = new OrphanCheck<>();
 
@@ -128,7 +129,7 @@
         try {
             clientFor(spec.get())
                     .request(requestOptions(exchange.get(), spec.get(), entry.get()))
-                    .onSuccess(call::send)
+                    .onSuccess(request -> call.send(request, uses.count(request.connection())))
                     .onFailure(call::connectionFailed);
         } catch (RuntimeException refused) {
             calls.remove(start.attempt());
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -242,6 +242,15 @@
         return stopped;
     }
 
+    /**
+     * Closes all connections and timers at once, as the end of the process would.
+     *
+     * @return completes once nothing runs any more
+     */
+    CompletableFuture<Void> close() {
+        return vertx.close().toCompletionStage().toCompletableFuture();
+    }
+
     /** Records that the platform changed the boot file; the values for this VM never change. */
     public void recordBootFileChange() {
         recordEvent(
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -40,10 +41,11 @@
 
     final Vertx vertx = Vertx.vertx();
     final List<HttpServerRequest> receivedRequests = new CopyOnWriteArrayList<>();
-    private final List<RawEndpoint> rawEndpoints = new ArrayList<>();
 
-    /** Keeps the clients of running calls: the runtime closes a client that nothing refers to. */
-    private final List<HttpClient> clients = new CopyOnWriteArrayList<>();
+    /** Holds the callers' clients, since the runtime closes one that is not reachable. */
+    private final List<HttpClient> callerClients = new CopyOnWriteArrayList<>();
+
+    private final List<RawEndpoint> rawEndpoints = new ArrayList<>();
 
     private LoopbackStore store;
     private GatewayDaemon gateway;
@@ -72,6 +74,7 @@
 
     void stop() {
         rawEndpoints.forEach(RawEndpoint::close);
+        Optional.ofNullable(gateway).ifPresent(started -> started.close().join());
         vertx.close();
     }
 
@@ -164,7 +167,7 @@
 
     private Answer send(RequestOptions options) throws Exception {
         HttpClient client = vertx.createHttpClient();
-        clients.add(client);
+        callerClients.add(client);
         return client.request(options)
                 .compose(request -> request.send(Buffer.buffer("body")))
                 .compose(response -> response.body().map(body -> Answer.of(response, body)))
