Let requests of a new workspace wait until its funds are in the ledger

Cause: a keeper that reaches the log took a budget that its ledger does not have for an unknown one, while the record that funds it was on its way.

Change: the keeper remembers which budgets its newest configuration funds; a request of one of them waits as for other missing tokens, and is then refused as BUDGET_UNAVAILABLE (503), never as unknown.

--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -231,6 +231,8 @@
         }
 
         private boolean appendFunding(FundsConfigured configured) {
+            world.configuredBudgets().clear();
+            configured.funds().forEach(funds -> world.configuredBudgets().add(funds.budget()));
             configured.funds().stream()
                     .filter(funds -> funds.paidTokens() > paidTokens(funds.budget()))
                     .map(funds -> new LedgerRecord.BudgetFunded(funds.budget(), funds.paidTokens()))
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -22,6 +22,7 @@
     private final Table<RouteName, Long> announcedMoveRevisions = Table.empty();
     private final Table<String, RouterReport> routerReports = Table.empty();
     private final Set<BudgetId> changedBudgets = new HashSet<>();
+    private final Set<BudgetId> configuredBudgets = new HashSet<>();
     private final Set<Incarnation> takeoversInFlight = new HashSet<>();
     private final Set<Incarnation> predecessors = new LinkedHashSet<>();
     private final Table<String, ClockOffsetRow> clockOffsets = Table.empty();
@@ -99,6 +100,14 @@
         return logReachable;
     }
 
+    /**
+     * Returns the budgets that the newest configuration funds; the ledger may not have their funds
+     * yet.
+     */
+    Set<BudgetId> configuredBudgets() {
+        return configuredBudgets;
+    }
+
     /** Returns true once a planned stop has begun. */
     public boolean isStopping() {
         return stopping;
--- a/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
@@ -110,8 +110,10 @@
     }
 
     private static ResultCode shortageCode(KeeperWorld world, ReservationRow row) {
+        boolean mayBeFunded =
+                !world.isLogReachable() || world.configuredBudgets().contains(row.budget());
         ResultCode ifAbsent =
-                world.isLogReachable() ? ResultCode.UNKNOWN_BUDGET : ResultCode.BUDGET_UNAVAILABLE;
+                mayBeFunded ? ResultCode.BUDGET_UNAVAILABLE : ResultCode.UNKNOWN_BUDGET;
         return world.ledger()
                 .budgets()
                 .find(row.budget())
