Move the search for orphans out of the gateway's daemon

What callers see does not change: requests and attempts that the router has lost are ended, logged and counted as before.

Change: OrphanWatch holds the timer and the counter; RouterDaemon names the function that reports a failed output.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -63,8 +63,6 @@
     /** The time at the end of the grace period that is reserved for the last appends to the log. */
     private static final long LAST_APPENDS_MILLIS = 700;
 
-    private static final long ORPHAN_CHECK_MILLIS = 1_000;
-
     private final Vertx vertx;
     private final Context context;
     private final MonotonicClock clock;
@@ -78,7 +76,6 @@
     private final Dispatch<KeeperOutput, RouterInput> replyTranslation;
     private final TickLoop<RouterInput, RouterOutput, RouterWorld> routerLoop;
     private final TickLoop<KeeperInput, KeeperOutput, KeeperWorld> keeperLoop;
-    private final Counter orphanCounter;
     private final CallerServer callerServer;
     private final EndpointClient endpointClient;
     private final EndpointRegistry endpointRegistry;
@@ -134,11 +131,6 @@
                 new LatestValueWriter<>(
                         vertx,
                         (key, report) -> store.putRolloutState(report.order(), report.state()));
-        this.orphanCounter =
-                Counter.builder()
-                        .name("bramleylatch_gateway_orphans_total")
-                        .help("Requests and attempts that were ended as the router had lost them")
-                        .register(metricsRegistry);
         this.routerHandlers = routerHandlers();
         this.keeperHandlers = keeperHandlers();
     }
@@ -273,7 +265,8 @@
                         reportStore)
                 .follow();
         peerDirectory.announce();
-        vertx.setTimer(ORPHAN_CHECK_MILLIS, ignored -> endOrphans());
+        new OrphanWatch(vertx, routerLoop.world(), callerServer, endpointClient, metricsRegistry)
+                .start();
         Router monitoringRoutes = Router.router(vertx);
         MonitoringHandlers.mount(monitoringRoutes, metricsRegistry, this::isReady);
         Handler<HttpServerRequest> internalHandler =
@@ -294,14 +287,6 @@
                 .whenComplete((done, failure) -> completeStart(started, failure));
     }
 
-    private void endOrphans() {
-        RouterWorld world = routerLoop.world();
-        orphanCounter.inc(
-                (double) callerServer.endOrphans(world.requests()::has)
-                        + endpointClient.cancelOrphans(world.attempts()::has));
-        vertx.setTimer(ORPHAN_CHECK_MILLIS, ignored -> endOrphans());
-    }
-
     private CompletableFuture<Void> listen(Address address, Handler<HttpServerRequest> handler) {
         return HttpServers.listen(vertx, address, handler)
                 .thenAccept(server -> ports.add(server.actualPort()));
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -79,8 +79,7 @@
                                 RouterLimits.standalone(),
                                 FailureLog.handler()),
                         this::handleOutput,
-                        (output, detail) ->
-                                Optional.of(new RouterInput.OutputFailed(output, detail)));
+                        RouterDaemon::failedOutput);
         this.callerServer =
                 new CallerServer(clock, settings.mostBodyBytes(), world, loop::offer, metrics);
         this.endpointClient =
@@ -131,6 +130,10 @@
         return !world.isStopping() && !world.keepers().isEmpty() && configStream.isCaughtUp();
     }
 
+    private static Optional<RouterInput> failedOutput(RouterOutput output, String detail) {
+        return Optional.of(new RouterInput.OutputFailed(output, detail));
+    }
+
     private void handleOutput(RouterOutput output) {
         handlers.accept(output);
     }
