Keep the clients of the gateway tests' callers until the test ends

A caller's client was held by nobody while its request was under way, and the runtime closes the connections of a client that the garbage collector finds. Seen once, in a whole run of the gateway's tests: a caller got "HttpClosedException: Connection was closed" 9 ms after its attempt started, and the gateway logged no end. Trial with a thread that collects garbage all the time: "Pool closed" in two of three cases before, in none with the change; there all three ran into time limits, as collecting took the processor. No check changes.

--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
@@ -40,6 +41,12 @@
     final Vertx vertx = Vertx.vertx();
     final List<HttpServerRequest> receivedRequests = new CopyOnWriteArrayList<>();
     private final List<RawEndpoint> rawEndpoints = new ArrayList<>();
+
+    /**
+     * Keeps the callers' clients, as the runtime closes the connections of one that is collected.
+     */
+    private final List<HttpClient> clients = new ArrayList<>();
+
     private LoopbackStore store;
     private GatewayDaemon gateway;
 
@@ -154,8 +161,9 @@
     }
 
     private Answer send(RequestOptions options) throws Exception {
-        return vertx.createHttpClient()
-                .request(options)
+        HttpClient client = vertx.createHttpClient();
+        clients.add(client);
+        return client.request(options)
                 .compose(request -> request.send(Buffer.buffer("body")))
                 .compose(response -> response.body().map(body -> Answer.of(response, body)))
                 .toCompletionStage()
