Read answers in the gateway tests' harness before parts are dropped

Cause: the harness asked for the body in a step that it added from the test's thread; if that thread was interrupted between two steps, the answer had come and the runtime had dropped its body, so that nothing ended the wait. The body is now asked for on the event loop, in the step that receives the head.

--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.gateway;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -169,8 +170,7 @@
         HttpClient client = vertx.createHttpClient();
         callerClients.add(client);
         return client.request(options)
-                .compose(request -> request.send(Buffer.buffer("body")))
-                .compose(response -> response.body().map(body -> Answer.of(response, body)))
+                .compose(request -> request.send(Buffer.buffer("body")).compose(Answer::read))
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -178,6 +178,11 @@
 
     record Answer(HttpClientResponse head, int status, String body) {
 
+        /** Reads the body; called on the event loop, before it can drop parts that nobody reads. */
+        static Future<Answer> read(HttpClientResponse head) {
+            return head.body().map(body -> of(head, body));
+        }
+
         static Answer of(HttpClientResponse head, Buffer body) {
             return new Answer(head, head.statusCode(), body.toString());
         }
