End a stream that answers a request of a plain service

A caller whose request of a service route was answered with 200 and a stream of events got the events and then neither an end nor a close: its deadline was cleared, and the request left the router's table without an answer. Cause: Settlements.finishRequest ended the answer only on chat routes, while the endpoint decides whether it streams. Class: a request leaves its table before its answer is on its way.

With the change the caller gets both events and the end.

--- a/core/src/main/java/org/bramleylatch/core/Settlements.java
+++ b/core/src/main/java/org/bramleylatch/core/Settlements.java
@@ -45,15 +45,13 @@
     static void finishRequest(RouterWorld world, RequestRow request) {
         RequestSpec spec = request.spec();
         world.timers().clear(new RouterTimer.UsageHoldTimeout(spec.key()));
-        if (spec.route().kind() == RouteKind.CHAT) {
-            world.send(
-                    new RouterOutput.FinishAnswer(
-                            spec.id(), "stop", spec.promptTokens(), request.deliveredTokens()));
-            world.note(
-                    EventKind.REQUEST_FINISHED,
-                    spec.key(),
-                    "answerTokens=" + request.deliveredTokens());
-        }
+        world.send(
+                new RouterOutput.FinishAnswer(
+                        spec.id(), "stop", spec.promptTokens(), request.deliveredTokens()));
+        world.note(
+                EventKind.REQUEST_FINISHED,
+                spec.key(),
+                "answerTokens=" + request.deliveredTokens());
         RequestCompletion.removeRequest(world, request);
     }
 }
