--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -57,12 +57,6 @@
 
     private static final int HUNDRED_PERCENT = 100;
 
-    /** The balancer checks readiness every second and removes a router after two failures. */
-    private static final long BALANCER_REMOVAL_MILLIS = 2_500;
-
-    /** The time at the end of the grace period that is reserved for the last appends to the log. */
-    private static final long LAST_APPENDS_MILLIS = 700;
-
     private final Vertx vertx;
     private final Context context;
     private final MonotonicClock clock;
@@ -89,10 +83,8 @@
     private final LatestValueWriter<RouterOutput.ReportRollout> rolloutWriter;
     private final MessageHandlers<RouterOutput> routerHandlers;
     private final MessageHandlers<KeeperOutput> keeperHandlers;
-    private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
-    private final CompletableFuture<Void> keeperStopped = new CompletableFuture<>();
+    private final PlannedStop plannedStop;
     private final List<Integer> ports = new ArrayList<>();
-    private boolean draining;
 
     private GatewayDaemon(
             Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
@@ -116,6 +108,7 @@
                         name -> configurationReceiver.latest().traitsOf(name), routerLoop::offer);
         this.configurationReceiver.onChange(endpointRegistry::announceAll);
         this.callerServer = callerServer();
+        this.plannedStop = plannedStop();
         this.endpointClient = endpointClient();
         this.ledgerStream =
                 new LedgerStream(
@@ -145,7 +138,7 @@
                         Placement.bySharedPrefix(),
                         routerLimits(boot.limits()),
                         FailureLog.handler()),
-                this::handleOutput,
+                output -> this.routerHandlers.accept(output),
                 (output, detail) -> Optional.of(new RouterInput.OutputFailed(output, detail)));
     }
 
@@ -179,7 +172,16 @@
                 this::recordEvent,
                 brokenRequests::inc,
                 () -> configurationReceiver.latest().maxBodyBytes(),
-                () -> draining);
+                this::isStopping);
+    }
+
+    private PlannedStop plannedStop() {
+        return new PlannedStop(
+                vertx,
+                boot.limits().shutdownGraceMillis(),
+                () -> routerLoop.offer(new RouterInput.StopAsked()),
+                () -> keeperLoop.offer(new KeeperInput.StopAsked()),
+                callerServer::whenAnswersWritten);
     }
 
     private EndpointClient endpointClient() {
@@ -229,9 +231,8 @@
      *     platform's grace period
      */
     public CompletableFuture<Void> stop() {
-        CompletableFuture<Void> stopped = new CompletableFuture<>();
-        context.runOnContext(ignored -> drain(stopped));
-        return stopped;
+        context.runOnContext(ignored -> beginStop());
+        return plannedStop.whenStopped();
     }
 
     /**
@@ -318,30 +319,19 @@
     }
 
     private boolean isReady() {
-        return !draining
+        return !isStopping()
                 && routerLoop.world().configuration().isKnown()
                 && configurationReceiver.isCaughtUp()
                 && ledgerStream.isCaughtUp();
     }
 
-    private void drain(CompletableFuture<Void> stopped) {
-        draining = true;
-        recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested, no longer ready"));
-        vertx.setTimer(
-                BALANCER_REMOVAL_MILLIS, ignored -> routerLoop.offer(new RouterInput.StopAsked()));
-        long routerStopDelayMillis = boot.limits().shutdownGraceMillis() - LAST_APPENDS_MILLIS;
-        vertx.setTimer(routerStopDelayMillis, ignored -> routerStopped.complete(null));
-        vertx.setTimer(
-                boot.limits().shutdownGraceMillis() - LAST_APPENDS_MILLIS / 2,
-                ignored -> stopped.complete(null));
-        routerStopped.thenRun(() -> keeperLoop.offer(new KeeperInput.StopAsked()));
-        keeperStopped
-                .thenCompose(done -> callerServer.whenAnswersWritten())
-                .thenRun(() -> stopped.complete(null));
+    private boolean isStopping() {
+        return plannedStop.hasBegun();
     }
 
-    private void handleOutput(RouterOutput output) {
-        routerHandlers.accept(output);
+    private void beginStop() {
+        recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested, no longer ready"));
+        plannedStop.begin();
     }
 
     private void handleOutput(KeeperOutput output) {
@@ -390,7 +380,7 @@
                                 rolloutWriter.put("status of " + report.order().backEnd(), report))
                 .on(RouterOutput.StoreReport.class, stored -> reportStore.put(stored.report()))
                 .on(RouterOutput.Note.class, note -> recordEvent(note.event()))
-                .on(RouterOutput.Stopped.class, done -> routerStopped.complete(null))
+                .on(RouterOutput.Stopped.class, done -> plannedStop.markRouterStopped())
                 .otherwise(callerServer::handleOutput);
     }
 
@@ -399,7 +389,7 @@
                 .on(KeeperOutput.AppendBatch.class, batch -> ledgerStream.append(batch.records()))
                 .on(KeeperOutput.QueryAttemptUsage.class, this::billInFull)
                 .on(KeeperOutput.Note.class, note -> recordEvent(note.event()))
-                .on(KeeperOutput.Stopped.class, done -> keeperStopped.complete(null));
+                .on(KeeperOutput.Stopped.class, done -> plannedStop.markKeeperStopped());
     }
 
     private void recordEvent(Event event) {
