--- a/gateway/src/test/java/org/bramleylatch/gateway/OddRequestHeadTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/OddRequestHeadTest.java
@@ -51,7 +51,8 @@
                 "POST /orders/1 HTTP/1.1\r\nhost: ropes.example\r\ntoken-counts: ,\r\n",
                 "POST /orders/1 HTTP/1.1\r\nhost: ropes.example\r\ntoken-counts: 9e18,9e18\r\n",
                 "POST /orders/1 HTTP/1.1\r\nhost: ropes.example\r\nprompt-prefix: ,\r\n",
-                "POST /orders/1 HTTP/1.1\r\nhost: ropes.example\r\nprompt-prefix: a:9e18,b:9e18,c:1\r\n"
+                "POST /orders/1 HTTP/1.1\r\nhost: ropes.example\r\n"
+                        + "prompt-prefix: a:9e18,b:9e18,c:1\r\n"
             })
     void everyRequestThatIsReadGetsAnAnswer(String head) throws Exception {
         try (Socket caller =
