Answer open requests before a stopping gateway exits

A caller whose request was still open near the end of the grace period (queued, or sent to an endpoint that stays silent) got a closed connection and no answer. Cause: at that time the daemon told the keeper to stop, but the router nothing, so no answer was decided and none was written. Class: the owner of a request ends without handing it over.

The router now refuses every open request with its true run state, ends complete answers that wait for their usage to be held, and only then lets the keeper stop.

--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -125,6 +125,24 @@
         return true;
     }
 
+    /**
+     * Ends every open request, as its caller would otherwise get nothing but a closed connection.
+     */
+    boolean endOpenRequests() {
+        beginStop();
+        world.requests().where(row -> true).forEach(this::finishOrRefuse);
+        return true;
+    }
+
+    private void finishOrRefuse(RequestRow row) {
+        if (row.stage() == RequestRow.Stage.SETTLING) {
+            Settlements.finishAnswer(world, row.spec().key());
+        } else {
+            RequestCompletion.refuse(
+                    world, row, ResultCode.SHUTTING_DOWN, "the process ends before the answer");
+        }
+    }
+
     private void askOtherKeeperOrRefuse(RequestRow row) {
         if (row.stage() == RequestRow.Stage.RESERVING) {
             Admission.askKeeper(world, row);
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -30,6 +30,7 @@
 import org.bramleylatch.core.RouterInput.RoutersCounted;
 import org.bramleylatch.core.RouterInput.ServiceAnswered;
 import org.bramleylatch.core.RouterInput.StopAsked;
+import org.bramleylatch.core.RouterInput.StopTimeReached;
 import org.bramleylatch.core.RouterInput.TokensArrived;
 import org.bramleylatch.core.RouterInput.UsageDurable;
 import org.bramleylatch.core.RouterInput.UsageHeld;
@@ -145,6 +146,7 @@
                 .on(
                         RolloutOrdered.class,
                         ordered -> RolloutSystem.apply(world, ordered.order(), nowMillis))
-                .on(StopAsked.class, message -> fleet.beginStop());
+                .on(StopAsked.class, message -> fleet.beginStop())
+                .on(StopTimeReached.class, message -> fleet.endOpenRequests());
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -191,4 +191,7 @@
 
     /** Asks the router to finish the running requests, accept no new ones and stop. */
     record StopAsked() implements RouterInput {}
+
+    /** Asks the router to answer the requests that are still open, as the process ends soon. */
+    record StopTimeReached() implements RouterInput {}
 }
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -180,6 +180,7 @@
                 vertx,
                 boot.limits().shutdownGraceMillis(),
                 () -> routerLoop.offer(new RouterInput.StopAsked()),
+                () -> routerLoop.offer(new RouterInput.StopTimeReached()),
                 () -> keeperLoop.offer(new KeeperInput.StopAsked()),
                 callerServer::whenAnswersWritten);
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
@@ -19,6 +19,7 @@
     private final Vertx vertx;
     private final long graceMillis;
     private final Runnable stopRouter;
+    private final Runnable endOpenRequests;
     private final Runnable stopKeeper;
     private final Supplier<CompletableFuture<Void>> answersWritten;
     private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
@@ -31,6 +32,7 @@
      *
      * @param graceMillis the time after which the platform ends the process
      * @param stopRouter asks the router to refuse new requests and to finish those that are open
+     * @param endOpenRequests asks the router to answer the requests that are still open
      * @param stopKeeper asks the keeper to return its grants
      * @param answersWritten returns a future that completes once every answer that has ended is
      *     written
@@ -39,11 +41,13 @@
             Vertx vertx,
             long graceMillis,
             Runnable stopRouter,
+            Runnable endOpenRequests,
             Runnable stopKeeper,
             Supplier<CompletableFuture<Void>> answersWritten) {
         this.vertx = vertx;
         this.graceMillis = graceMillis;
         this.stopRouter = stopRouter;
+        this.endOpenRequests = endOpenRequests;
         this.stopKeeper = stopKeeper;
         this.answersWritten = answersWritten;
     }
@@ -52,7 +56,7 @@
     void begin() {
         begun = true;
         runAfter(BALANCER_REMOVAL_MILLIS, stopRouter);
-        runAfter(graceMillis - LAST_APPENDS_MILLIS, this::markRouterStopped);
+        runAfter(graceMillis - LAST_APPENDS_MILLIS, this::endRouter);
         runAfter(graceMillis - LAST_APPENDS_MILLIS / 2, () -> stopped.complete(null));
         routerStopped.thenRun(stopKeeper);
         keeperStopped
@@ -80,6 +84,11 @@
         return stopped;
     }
 
+    private void endRouter() {
+        endOpenRequests.run();
+        markRouterStopped();
+    }
+
     private void runAfter(long delayMillis, Runnable step) {
         vertx.setTimer(Math.max(1, delayMillis), ignored -> step.run());
     }
