--- a/gateway/src/test/java/org/bramleylatch/gateway/OddRequestHeadTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/OddRequestHeadTest.java
@@ -67,6 +67,25 @@
         }
     }
 
+    // Guards against token counts whose sum overflows, so that a prompt runs without being billed.
+    @ParameterizedTest
+    @ValueSource(strings = {"1e300,1e300", "9223372036854775807,9223372036854775807", "1e13,1"})
+    void aRequestWithTokenCountsBeyondAnyEndpointIsRefusedAndNotSent(String counts)
+            throws Exception {
+        try (Socket caller =
+                new Socket(GatewayHarness.LOOPBACK, harness.gateway().ports().get(0))) {
+            caller.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
+            RawEndpoint.write(
+                    caller,
+                    "POST /orders/1 HTTP/1.1\r\nhost: ropes.example\r\nrequest-id: odd-1\r\n"
+                            + "x-api-key: secret\r\ntoken-counts: "
+                            + counts
+                            + "\r\ncontent-length: 4\r\n\r\nbody");
+            assertThat(readStatusLine(caller)).startsWith("HTTP/1.1 400");
+        }
+        assertThat(harness.receivedRequests).isEmpty();
+    }
+
     private static String readStatusLine(Socket caller) throws IOException {
         StringBuilder line = new StringBuilder();
         int next = caller.getInputStream().read();
