Keep an owner for requests and attempts whose handling throws at the edge

An exception of another type than a numbered failure, while a request is read or while an attempt is sent or its head is handled, would only be logged by the runtime: the caller would get nothing, or wait for its whole deadline, as the world keeps such an attempt as running.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -217,19 +217,27 @@
             }
             openExchange(newExchange(request, head, body, arrivedMillis));
         } catch (ResultException refused) {
-            metrics.countRefusal(refused.code());
-            CallerExchange exchange =
-                    newExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
-            exchange.refuse(
-                    new RouterOutput.Refuse(
-                            RequestId.of(""),
-                            refused.code(),
-                            RunState.NOT_RUN,
-                            refused.getMessage()),
-                    true);
+            refuseUnread(request, body, arrivedMillis, refused);
+        } catch (RuntimeException failure) {
+            LOG.error("request could not be read", failure);
+            ResultException internal =
+                    ResultException.of(ResultCode.INTERNAL, "request could not be read");
+            refuseUnread(request, body, arrivedMillis, internal);
         }
     }
 
+    /** Refuses a request that never reached the router. */
+    private void refuseUnread(
+            HttpServerRequest request, Buffer body, long arrivedMillis, ResultException refused) {
+        metrics.countRefusal(refused.code());
+        CallerExchange exchange =
+                newExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
+        exchange.refuse(
+                new RouterOutput.Refuse(
+                        RequestId.of(""), refused.code(), RunState.NOT_RUN, refused.getMessage()),
+                true);
+    }
+
     private CallerExchange newExchange(
             HttpServerRequest request, CallerRequestHead head, Buffer body, long arrivedMillis) {
         CallerExchange exchange = new CallerExchange(request, head, body, arrivedMillis, writes);
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -15,9 +15,13 @@
 import org.bramleylatch.core.RouterInput.AttemptFailed.Cause;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.platform.EndpointAnswerHead;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Runs one attempt: sends the request to an endpoint and turns its answer into router messages. */
 final class EndpointCall {
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointCall.class);
+
     /** Larger than any answer that is not streamed; such an answer is held until its end. */
     private static final int MAX_WHOLE_BYTES = 1024 * 1024;
 
@@ -78,9 +82,20 @@
         newRequest.exceptionHandler(failure -> loseConnection("request failed: " + failure));
         newRequest
                 .response()
-                .onSuccess(answer -> receiveHead(answer, connectionUses))
+                .onSuccess(answer -> guard(() -> receiveHead(answer, connectionUses)))
                 .onFailure(failure -> loseConnection("no answer: " + failure));
-        newRequest.end(exchange.body());
+        guard(() -> newRequest.end(exchange.body()));
+    }
+
+    /** Fails the attempt if a step throws, since the runtime's future only logs that. */
+    private void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException failure) {
+            LOG.error("call of {} failed", endpoint, failure);
+            closeConnection();
+            loseConnection("call failed: " + failure);
+        }
     }
 
     /** Reports that no connection could be opened; the request certainly did not run. */
