--- a/core/src/main/java/org/bramleylatch/core/AnswerVerdict.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerVerdict.java
@@ -6,7 +6,7 @@
     ANSWER,
     /** Proves that the endpoint has not run the request. */
     REFUSAL,
-    /** Is not known to answer the request; the endpoint may run it. */
+    /** May be the answer to another request; the endpoint may run this one. */
     UNATTRIBUTED,
     /**
      * Is not final, or has a status that promises that the request did not run without the
--- a/gateway/src/test/java/org/bramleylatch/gateway/SeededTroubleTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/SeededTroubleTest.java
@@ -101,7 +101,7 @@
         signed(request).end("done");
     }
 
-    /** Sends four events, with the connection closed between them now and then. */
+    /** Sends four events, and closes the connection between two of them in some answers. */
     private void stream(HttpServerRequest request, Random random) {
         String last = request.getHeader("last-event-id");
         int first = last == null ? 1 : Integer.parseInt(last) + 1;
