--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -48,7 +48,7 @@
      * reservation is released if the request has ended or another keeper has been asked since.
      */
     boolean acceptGrant(ReserveGranted granted) {
-        world.keepers().add(granted.keeper());
+        markAnswering(granted.keeper());
         Optional<RequestRow> row =
                 world.requestByKey(granted.key())
                         .filter(found -> found.stage() == Stage.RESERVING)
@@ -74,6 +74,7 @@
      * For any other reason, the request is refused.
      */
     boolean handleReserveRefusal(ReserveRefused refused) {
+        markAnswering(refused.keeper());
         Optional<RequestRow> row =
                 world.requestByKey(refused.key())
                         .filter(found -> found.stage() == Stage.RESERVING)
@@ -93,22 +94,41 @@
                             Borrowing.askNextLender(
                                     world,
                                     found,
-                                    Borrowing.withAllConnectedKeepers(
-                                            world, found, refused.lenders()),
+                                    Borrowing.possibleLenders(world, found, refused.lenders()),
                                     limits,
                                     nowMillis));
         } else if (refused.code() == ResultCode.SHUTTING_DOWN) {
             world.keepers().remove(refused.keeper());
             row.ifPresent(found -> askKeeper(world, found));
         } else {
-            row.ifPresent(
-                    found ->
-                            RequestCompletion.refuse(
-                                    world, found, refused.code(), "tokens could not be reserved"));
+            row.ifPresent(found -> confirmOrRefuse(found, refused));
         }
         return row.isPresent();
     }
 
+    /**
+     * Refuses the request for good, unless the refusing keeper may know an older configuration than
+     * this router: then the local keeper, which knows the same, is asked to confirm.
+     */
+    private void confirmOrRefuse(RequestRow row, ReserveRefused refused) {
+        Optional<Incarnation> local =
+                world.localKeeper().filter(keeper -> !keeper.equals(refused.keeper()));
+        boolean dependsOnConfiguration =
+                refused.code() == ResultCode.UNKNOWN_BUDGET
+                        || refused.code() == ResultCode.BUDGET_EXHAUSTED;
+        if (local.isPresent() && dependsOnConfiguration) {
+            Borrowing.askOnly(world, row, local.get(), limits, nowMillis);
+        } else {
+            RequestCompletion.refuse(world, row, refused.code(), "tokens could not be reserved");
+        }
+    }
+
+    private void markAnswering(Incarnation keeper) {
+        if (world.silentKeepers().remove(keeper)) {
+            world.timers().clear(new RouterTimer.KeeperRetrial(keeper));
+        }
+    }
+
     /** Queues a request whose run was claimed; the claim is released if the request has ended. */
     boolean queueClaimed(IntentWon won) {
         Optional<RequestRow> row = findClaiming(won.key());
--- a/core/src/main/java/org/bramleylatch/core/Borrowing.java
+++ b/core/src/main/java/org/bramleylatch/core/Borrowing.java
@@ -1,9 +1,7 @@
 package org.bramleylatch.core;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 /**
  * Borrows tokens for a request from other routers' keepers if the router's own keeper lacks them.
@@ -12,11 +10,6 @@
     /** A keeper that lacked tokens is unlikely to have any before it next settles usage. */
     private static final long BACKOFF_MILLIS = 400;
 
-    /**
-     * A large odd factor that spreads similar hashes, so that the order differs between requests.
-     */
-    private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
-
     private Borrowing() {}
 
     /** Asks the next lender after a refusal, or refuses the request if none is left. */
@@ -48,28 +41,43 @@
         int consumedCount = lenders.indexOf(next.get()) + 1;
         world.remainingLenders()
                 .put(id, List.copyOf(lenders.subList(consumedCount, lenders.size())));
-        ask(world, row, next.get());
-        world.timers()
-                .set(new RouterTimer.ReserveTimeout(id), nowMillis + limits.lenderTimeoutMillis());
+        ask(world, row, next.get(), limits, nowMillis);
+    }
+
+    /** Asks one keeper; if it has no tokens either, the request is refused. */
+    static void askOnly(
+            RouterWorld world,
+            RequestRow row,
+            Incarnation keeper,
+            RouterLimits limits,
+            long nowMillis) {
+        world.remainingLenders().put(row.spec().id(), List.of());
+        ask(world, row, keeper, limits, nowMillis);
     }
 
     /**
-     * Returns the named lenders, then all other connected keepers in an order that depends on the
-     * request.
+     * Returns the named lenders, then the other keepers that may hold tokens of the budget, without
+     * the one that was asked.
      */
-    static List<Incarnation> withAllConnectedKeepers(
+    static List<Incarnation> possibleLenders(
             RouterWorld world, RequestRow row, List<Incarnation> namedLenders) {
-        Comparator<Incarnation> byRequest =
-                Comparator.comparingLong(
-                        keeper -> (row.spec().key().low() ^ keeper.hashCode()) * HASH_MULTIPLIER);
-        return Stream.concat(namedLenders.stream(), world.keepers().stream().sorted(byRequest))
-                .filter(keeper -> row.keeper().filter(keeper::equals).isEmpty())
-                .distinct()
-                .toList();
+        return new HolderOrder(world)
+                .lenders(row.spec().budget().value(), namedLenders).stream()
+                        .filter(keeper -> row.keeper().filter(keeper::equals).isEmpty())
+                        .toList();
     }
 
-    private static void ask(RouterWorld world, RequestRow row, Incarnation keeper) {
+    private static void ask(
+            RouterWorld world,
+            RequestRow row,
+            Incarnation keeper,
+            RouterLimits limits,
+            long nowMillis) {
         RequestSpec spec = row.spec();
+        world.timers()
+                .set(
+                        new RouterTimer.ReserveTimeout(spec.id()),
+                        nowMillis + limits.lenderTimeoutMillis());
         world.requests().put(spec.id(), row.withKeeper(keeper));
         world.note(
                 EventKind.LENDER_ASKED,
@@ -100,6 +108,8 @@
                         .find(grant)
                         .filter(untilMillis -> nowMillis < untilMillis)
                         .isPresent();
-        return world.keepers().contains(keeper) && !isBackedOff;
+        return world.keepers().contains(keeper)
+                && !world.silentKeepers().contains(keeper)
+                && !isBackedOff;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
@@ -7,9 +7,15 @@
  * @param smallestTokens the smallest amount worth asking for
  * @param lowWatermark the fraction of its target below which a holder asks for more
  * @param highWatermark the multiple of its target above which a holder returns tokens
+ * @param marginDeviations how many standard deviations of the horizon's demand are held in
+ *     addition, as requests arrive at random
  */
 record DemandGrantPolicy(
-        double horizonHours, long smallestTokens, double lowWatermark, double highWatermark)
+        double horizonHours,
+        long smallestTokens,
+        double lowWatermark,
+        double highWatermark,
+        double marginDeviations)
         implements GrantPolicy {
     @Override
     public GrantPlan plan(GrantView view) {
@@ -34,10 +40,16 @@
         double ownDemand = Math.max(1, view.demandTokensPerHour());
         double shareTokens =
                 view.spendableTokens() * ownDemand / (ownDemand + view.othersDemandTokensPerHour());
-        double horizonTokens = view.demandTokensPerHour() * horizonHours + smallestTokens;
+        double demandTokens = view.demandTokensPerHour() * horizonHours;
+        double horizonTokens = demandTokens + marginTokens(view, demandTokens) + smallestTokens;
         return (long) Math.max(0, Math.min(shareTokens, horizonTokens));
     }
 
+    /** The number of random arrivals has its mean as variance. */
+    private double marginTokens(GrantView view, double demandTokens) {
+        return marginDeviations * Math.sqrt(demandTokens * view.requestTokens());
+    }
+
     private long missingTokens(GrantView view, long targetTokens) {
         return Math.max(0, targetTokens - view.ownOpenTokens());
     }
--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -41,10 +41,14 @@
     LENDER_ASKED,
     /** A router can now send requests to a keeper. */
     KEEPER_FOUND,
-    /** A router lost the connection to a keeper, or the keeper stopped answering. */
+    /** A router lost the connection to a keeper. */
     KEEPER_LOST,
+    /** A keeper left a reservation without an answer; others are asked for a while. */
+    KEEPER_SILENT,
     /** A keeper proposed to freeze all or part of the grants of its earlier incarnation. */
     HOLDER_FROZEN,
+    /** A keeper needs the last tokens of its grant and tells the log before it uses them. */
+    WHOLE_GRANT_WANTED,
     /** A keeper asked for free tokens of a budget. */
     GRANT_ASKED,
     /** A keeper returned unused tokens of its grant to the budget. */
--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -13,6 +13,7 @@
 import org.bramleylatch.core.RouterInput.LocalKeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
 import org.bramleylatch.core.RouterInput.RoutersCounted;
+import org.bramleylatch.core.RouterInput.VmsAnnounced;
 
 /**
  * Applies messages about the configuration, the endpoints, the keepers and the moves of the fleet
@@ -85,6 +86,7 @@
      */
     boolean removeKeeper(KeeperDown down) {
         world.keepers().remove(down.keeper());
+        world.silentKeepers().remove(down.keeper());
         world.note(EventKind.KEEPER_LOST, down.keeper(), "keepers=" + world.keepers().size());
         world.settlements()
                 .where(row -> row.keeper().filter(down.keeper()::equals).isPresent())
@@ -113,6 +115,13 @@
         return true;
     }
 
+    /** Selects the holders anew; a VM that was announced stays known when it is gone. */
+    boolean applyVms(VmsAnnounced announced) {
+        announced.vms().forEach(vm -> world.vms().put(vm.vm(), vm));
+        world.setHolders(HolderSelection.among(world.vms().rows().toList()));
+        return true;
+    }
+
     /** Adds the keeper of this process, which is preferred to all others. */
     boolean setLocalKeeper(LocalKeeperUp local) {
         world.setLocalKeeper(local.keeper());
--- a/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
@@ -28,6 +28,9 @@
      */
     double SHORT_TERM_LOW_WATERMARK = 0.8;
 
+    /** In seconds, a small budget has few requests, and their number varies widely. */
+    double SHORT_TERM_MARGIN_DEVIATIONS = 3;
+
     /**
      * Returns the policy by forecast demand for grants that last for seconds.
      *
@@ -39,7 +42,8 @@
                 horizonMillis / MILLIS_PER_HOUR,
                 smallestTokens,
                 SHORT_TERM_LOW_WATERMARK,
-                SHORT_TERM_HIGH_WATERMARK);
+                SHORT_TERM_HIGH_WATERMARK,
+                SHORT_TERM_MARGIN_DEVIATIONS);
     }
 
     /**
@@ -51,7 +55,8 @@
      * @param smallestTokens the smallest amount worth asking for
      */
     static GrantPolicy byDemand(double horizonHours, long smallestTokens) {
-        return new DemandGrantPolicy(horizonHours, smallestTokens, LOW_WATERMARK, HIGH_WATERMARK);
+        return new DemandGrantPolicy(
+                horizonHours, smallestTokens, LOW_WATERMARK, HIGH_WATERMARK, 0);
     }
 
     /**
--- a/core/src/main/java/org/bramleylatch/core/GrantSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantSystem.java
@@ -24,22 +24,26 @@
                 && !world.isStopping()
                 && world.isLogReachable()) {
             long demandTokensPerHour = Math.round(grantUse.get().demandTokensPerHourAt(nowMillis));
+            long requestTokens = grantUse.get().requestTokens();
             execute(
                     world,
                     budget,
-                    policy.plan(createView(world, budgetRow.get(), demandTokensPerHour)),
+                    policy.plan(
+                            createView(world, budgetRow.get(), demandTokensPerHour, requestTokens)),
                     demandTokensPerHour);
         }
     }
 
-    private GrantView createView(KeeperWorld world, BudgetRow budgetRow, long demandTokensPerHour) {
+    private GrantView createView(
+            KeeperWorld world, BudgetRow budgetRow, long demandTokensPerHour, long requestTokens) {
         return new GrantView(
                 budgetRow,
                 world.ledger().grantsOf(budgetRow.id()),
                 world.self(),
                 world.idleTokens(budgetRow.id()),
                 neededIdleTokens(world, budgetRow.id()),
-                demandTokensPerHour);
+                demandTokensPerHour,
+                requestTokens);
     }
 
     private static long waitingTokens(KeeperWorld world, BudgetId budget) {
@@ -66,7 +70,7 @@
         long wholePermille = UsableShareSystem.WHOLE_PERMILLE;
         return missingTokens <= 0
                 ? 0
-                : -Math.floorDiv(-missingTokens * wholePermille, world.usablePermille());
+                : -Math.floorDiv(-missingTokens * wholePermille, world.usablePermille(budget));
     }
 
     private static void execute(
@@ -89,7 +93,7 @@
         long wholePermille = UsableShareSystem.WHOLE_PERMILLE;
         long committedTokens = world.openTokens(budget) - world.idleTokens(budget);
         return world.openTokens(budget)
-                + Math.floorDiv(-committedTokens * wholePermille, world.usablePermille());
+                + Math.floorDiv(-committedTokens * wholePermille, world.usablePermille(budget));
     }
 
     private static void ask(
--- a/core/src/main/java/org/bramleylatch/core/GrantUseRow.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantUseRow.java
@@ -9,6 +9,7 @@
  * @param askInFlight true while a request for a larger grant has not been read back from the log
  * @param demandTokensPerHour the forecast from recent requests, as of demandMillis
  * @param demandMillis when the forecast was last updated, in milliseconds
+ * @param requestTokens the mean reservation of recent requests; 0 before the first
  * @param halfLifeMillis the time in which the weight of past demand halves, in milliseconds
  */
 public record GrantUseRow(
@@ -19,13 +20,17 @@
         boolean askInFlight,
         double demandTokensPerHour,
         long demandMillis,
+        long requestTokens,
         long halfLifeMillis) {
 
+    /** A request changes the mean by this part of its difference. */
+    private static final double REQUEST_WEIGHT = 0.2;
+
     private static final double MILLIS_PER_HOUR = 60 * 60 * 1000.0;
 
     /** Returns a row without committed tokens or demand. */
     public static GrantUseRow of(BudgetId budget, long nowMillis, long halfLifeMillis) {
-        return new GrantUseRow(budget, 0, 0, 0, false, 0, nowMillis, halfLifeMillis);
+        return new GrantUseRow(budget, 0, 0, 0, false, 0, nowMillis, 0, halfLifeMillis);
     }
 
     /** Returns the tokens that can be neither reserved nor returned. */
@@ -64,6 +69,7 @@
                 askInFlight,
                 demandTokensPerHourAt(nowMillis) + added,
                 nowMillis,
+                meanRequestTokens(tokens),
                 halfLifeMillis);
     }
 
@@ -82,6 +88,13 @@
                 inFlight,
                 demandTokensPerHour,
                 demandMillis,
+                requestTokens,
                 halfLifeMillis);
     }
+
+    private long meanRequestTokens(long tokens) {
+        return requestTokens == 0
+                ? tokens
+                : Math.round(requestTokens + REQUEST_WEIGHT * (tokens - requestTokens));
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/GrantView.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantView.java
@@ -11,6 +11,7 @@
  * @param neededIdleTokens how many idle tokens this keeper needs to serve the waiting requests, of
  *     which it may use only its usable share; at most idleTokens if it can serve them now
  * @param demandTokensPerHour this keeper's forecast
+ * @param requestTokens the mean reservation of recent requests; 0 if there was none
  */
 public record GrantView(
         BudgetRow budget,
@@ -18,7 +19,8 @@
         Incarnation self,
         long idleTokens,
         long neededIdleTokens,
-        long demandTokensPerHour) {
+        long demandTokensPerHour,
+        long requestTokens) {
 
     /** Copies the list. */
     public GrantView {
--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -6,6 +6,7 @@
 import org.bramleylatch.core.KeeperInput.AttemptUsageReported;
 import org.bramleylatch.core.KeeperInput.FromLog;
 import org.bramleylatch.core.KeeperInput.FundsConfigured;
+import org.bramleylatch.core.KeeperInput.HolderSelected;
 import org.bramleylatch.core.KeeperInput.IntentAsked;
 import org.bramleylatch.core.KeeperInput.IntentEnded;
 import org.bramleylatch.core.KeeperInput.MoveReported;
@@ -61,7 +62,8 @@
                     .on(RouterConnected.class, this::addRouter)
                     .on(RouterDisconnected.class, this::removeRouter)
                     .on(AttemptUsageReported.class, this::settleOrphan)
-                    .on(FundsConfigured.class, this::appendFunding)
+                    .on(FundsConfigured.class, this::recordFunds)
+                    .on(HolderSelected.class, this::applySelection)
                     .on(ProcessStarted.class, this::recordProcessStart)
                     .on(FromLog.class, input -> logUpdateHandlers().apply(input.update()))
                     .on(StopAsked.class, message -> beginStop());
@@ -122,11 +124,21 @@
          */
         private boolean lend(ReserveAsked ask) {
             ReservationRow row = newReservation(ask);
+            ResultCode shortage = ReservationSystem.shortageCode(world, row);
+            if (shortage != ResultCode.BUDGET_UNAVAILABLE) {
+                world.outbox()
+                        .add(new KeeperOutput.ReserveRefused(ask.router(), ask.key(), shortage));
+                return false;
+            }
             recordDemand(ask);
             if (world.availableTokens(ask.budget()) < ask.tokens()) {
                 if (!world.isLogLost() && ReservationSystem.isCoveredWithFreeTokens(world, row)) {
                     return enqueue(row, BORROWED_WAIT_MILLIS);
                 }
+                if (UsableShareSystem.canWaitForWholeGrant(world, limits, row)) {
+                    UsableShareSystem.wantWholeGrant(world, row.budget());
+                    return enqueue(row, BORROWED_WAIT_MILLIS);
+                }
                 world.outbox()
                         .add(
                                 new KeeperOutput.ReserveRefused(
@@ -230,18 +242,20 @@
             world.append(new LedgerRecord.UsageSummed(grant.budget(), grant.holder(), tokens));
         }
 
-        private boolean appendFunding(FundsConfigured configured) {
-            world.configuredBudgets().clear();
-            configured.funds().forEach(funds -> world.configuredBudgets().add(funds.budget()));
-            configured.funds().stream()
-                    .filter(funds -> funds.paidTokens() > paidTokens(funds.budget()))
-                    .map(funds -> new LedgerRecord.BudgetFunded(funds.budget(), funds.paidTokens()))
-                    .forEach(world::append);
+        private boolean recordFunds(FundsConfigured configured) {
+            world.configuredFunds().removeIf(row -> true);
+            configured.funds().forEach(funds -> world.configuredFunds().put(funds.budget(), funds));
+            world.setUncheckedFunds(true);
             return true;
         }
 
-        private long paidTokens(BudgetId budget) {
-            return world.ledger().budgets().find(budget).map(BudgetRow::paidTokens).orElse(-1L);
+        private boolean applySelection(HolderSelected selection) {
+            boolean wasActive = world.isActive();
+            world.setSelected(selection.selected());
+            if (world.isCaughtUp() && world.isActive() && !wasActive) {
+                appendFirstHeartbeat();
+            }
+            return true;
         }
 
         private boolean claimIntent(IntentAsked ask) {
@@ -365,12 +379,18 @@
         private boolean markCaughtUp() {
             world.setCaughtUp();
             world.ledger().budgets().keys().forEach(world.changedBudgets()::add);
-            if (limits.limitsUsableShare()) {
-                world.append(UsableShareSystem.heartbeat(world, limits, nowMillis));
+            if (world.isActive()) {
+                appendFirstHeartbeat();
             }
             return true;
         }
 
+        private void appendFirstHeartbeat() {
+            if (limits.limitsUsableShare()) {
+                world.writer().addEmptyBatch();
+            }
+        }
+
         private boolean recordProcessStart(ProcessStarted started) {
             world.setStartTimes(started.bootMillis(), started.startMillis());
             return true;
--- a/core/src/main/java/org/bramleylatch/core/KeeperInput.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInput.java
@@ -81,6 +81,9 @@
         }
     }
 
+    /** Reports whether the routers of the zone ask this keeper for tokens before others. */
+    record HolderSelected(boolean selected) implements KeeperInput {}
+
     /** Asks the keeper to stop: to settle all usage and to return all grants. */
     record StopAsked() implements KeeperInput {}
 }
--- a/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
@@ -17,6 +17,7 @@
                 failures,
                 new KeeperInboxSystem(limits, failures),
                 new KeeperTimerSystem(limits, failures),
+                new FundingSystem(),
                 new UsableShareSystem(limits),
                 new SuccessionSystem(limits),
                 new ReservationSystem(limits),
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -22,7 +22,9 @@
     private final Table<RouteName, Long> announcedMoveRevisions = Table.empty();
     private final Table<String, RouterReport> routerReports = Table.empty();
     private final Set<BudgetId> changedBudgets = new HashSet<>();
-    private final Set<BudgetId> configuredBudgets = new HashSet<>();
+    private final Table<BudgetId, BudgetFunds> configuredFunds = Table.empty();
+    private final Set<BudgetId> wholeGrantsWanted = new HashSet<>();
+    private final Set<BudgetId> wholeGrantsConfirmed = new HashSet<>();
     private final Set<Incarnation> takeoversInFlight = new HashSet<>();
     private final Set<Incarnation> predecessors = new LinkedHashSet<>();
     private final Table<String, ClockOffsetRow> clockOffsets = Table.empty();
@@ -40,6 +42,10 @@
     private long bootMillis;
     private long startMillis;
     private boolean stopping;
+    private boolean selected = true;
+    private boolean uncheckedFunds;
+    private boolean configured;
+    private boolean funded;
 
     private KeeperWorld(Incarnation self) {
         this.self = self;
@@ -101,11 +107,45 @@
     }
 
     /**
-     * Returns the budgets that the newest configuration funds; the ledger may not have their funds
+     * Returns what the newest configuration says was paid, by budget; the ledger may not have it
      * yet.
      */
-    Set<BudgetId> configuredBudgets() {
-        return configuredBudgets;
+    Table<BudgetId, BudgetFunds> configuredFunds() {
+        return configuredFunds;
+    }
+
+    /**
+     * Returns true if the keeper takes part in the ledger: it is selected as a holder, or holds or
+     * waits for tokens because the selected ones could not be asked.
+     */
+    public boolean isActive() {
+        return selected || grantUses.size() > 0 || waitingReservations.size() > 0;
+    }
+
+    void setSelected(boolean isSelected) {
+        selected = isSelected;
+    }
+
+    /**
+     * Returns true once the ledger had all funds of a configuration, so that the first requests
+     * need not wait for them.
+     */
+    public boolean isFunded() {
+        return funded;
+    }
+
+    void setFunded() {
+        funded = configured;
+    }
+
+    /** Returns true while the configured funds are to be compared with the ledger. */
+    boolean hasUncheckedFunds() {
+        return uncheckedFunds;
+    }
+
+    void setUncheckedFunds(boolean unchecked) {
+        uncheckedFunds = unchecked;
+        configured = true;
     }
 
     /** Returns true once a planned stop has begun. */
@@ -117,7 +157,7 @@
     public long availableTokens(BudgetId budget) {
         long returningTokens = grantUses.find(budget).map(GrantUseRow::returningTokens).orElse(0L);
         long keptTokens = openTokens(budget) - returningTokens;
-        long usableTokens = keptTokens * usablePermille / UsableShareSystem.WHOLE_PERMILLE;
+        long usableTokens = keptTokens * usablePermille(budget) / UsableShareSystem.WHOLE_PERMILLE;
         return usableTokens - committedTokens(budget) + returningTokens;
     }
 
@@ -135,8 +175,26 @@
         return grantUses.find(budget).map(GrantUseRow::committedTokens).orElse(0L);
     }
 
-    int usablePermille() {
-        return usablePermille;
+    /** Returns the share of its grant of the budget that this keeper may use, in thousandths. */
+    int usablePermille(BudgetId budget) {
+        return wholeGrantsConfirmed.contains(budget)
+                ? UsableShareSystem.WHOLE_PERMILLE
+                : usablePermille;
+    }
+
+    /**
+     * Contains the budgets whose whole grants this keeper wants to use; its heartbeats name them.
+     */
+    Set<BudgetId> wholeGrantsWanted() {
+        return wholeGrantsWanted;
+    }
+
+    /**
+     * Contains the budgets whose whole grants this keeper may use, as every heartbeat that may be
+     * its last one in the log names them.
+     */
+    Set<BudgetId> wholeGrantsConfirmed() {
+        return wholeGrantsConfirmed;
     }
 
     void setUsablePermille(int permille) {
--- a/core/src/main/java/org/bramleylatch/core/LogReplay.java
+++ b/core/src/main/java/org/bramleylatch/core/LogReplay.java
@@ -58,6 +58,9 @@
                 .on(HolderFrozen.class, frozen -> world.takeoversInFlight().remove(frozen.holder()))
                 .on(HolderTakenOver.class, done -> world.takeoversInFlight().remove(done.holder()))
                 .on(UsageSummed.class, summed -> endSum(world, summed))
+                .on(
+                        LedgerRecord.HolderHeartbeat.class,
+                        heartbeat -> UsableShareSystem.confirm(world, heartbeat))
                 .accept(ownRecord.record());
     }
 
--- a/core/src/main/java/org/bramleylatch/core/LogWriter.java
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.function.Supplier;
+import org.bramleylatch.core.LedgerRecord.BudgetFunded;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
 import org.bramleylatch.core.LedgerRecord.HolderTakenOver;
@@ -31,6 +32,7 @@
     private long lastSequence;
     private long appendedSequence;
     private boolean hasUrgentRecord;
+    private boolean emptyBatchWanted;
     private long nextSendMillis;
     private long nextUrgentMillis;
     private long resendMillis;
@@ -53,6 +55,12 @@
         hasUrgentRecord = hasUrgentRecord || isUrgent(record);
     }
 
+    /** Lets a batch follow soon that has at least its header. */
+    void addEmptyBatch() {
+        emptyBatchWanted = true;
+        hasUrgentRecord = true;
+    }
+
     /** Returns true if no record is waiting to be appended or read back. */
     public boolean isIdle() {
         return queue.isEmpty() && inFlight.isEmpty();
@@ -67,7 +75,8 @@
      */
     public Optional<List<SequencedRecord>> takeDueBatch(
             long nowMillis, KeeperLimits limits, Supplier<Optional<LedgerRecord>> batchHeader) {
-        if (inFlight.isEmpty() && !queue.isEmpty() && nowMillis >= sendMillis()) {
+        if (inFlight.isEmpty() && hasBatch() && nowMillis >= sendMillis()) {
+            emptyBatchWanted = false;
             batchHeader.get().ifPresent(this::addToBatch);
             coalesce(takeQueued(limits.maxBatchRecords())).forEach(this::addToBatch);
             hasUrgentRecord = !queue.isEmpty() && hasUrgentRecord;
@@ -88,7 +97,7 @@
         if (isUnanswered()) {
             return OptionalLong.of(resendMillis);
         }
-        return inFlight.isEmpty() && !queue.isEmpty()
+        return inFlight.isEmpty() && hasBatch()
                 ? OptionalLong.of(sendMillis())
                 : OptionalLong.empty();
     }
@@ -120,6 +129,10 @@
         return Optional.of(List.copyOf(inFlight));
     }
 
+    private boolean hasBatch() {
+        return emptyBatchWanted || !queue.isEmpty();
+    }
+
     private long sendMillis() {
         return hasUrgentRecord ? nextUrgentMillis : nextSendMillis;
     }
@@ -171,6 +184,7 @@
     private static boolean isUrgent(LedgerRecord record) {
         boolean isAwaitedGrant = record instanceof GrantAsked ask && ask.neededTokens() > 0;
         return isAwaitedGrant
+                || record instanceof BudgetFunded
                 || record instanceof GrantReturned
                 || record instanceof HolderTakenOver
                 || record instanceof IntentDeclared;
--- a/core/src/main/java/org/bramleylatch/core/RateShare.java
+++ b/core/src/main/java/org/bramleylatch/core/RateShare.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Decides a router's share of an endpoint's limit. Routers use an endpoint in proportion to their
@@ -28,31 +30,56 @@
      * the limit.
      */
     double perSecond(RateLimitRow row) {
-        int reachable = Math.max(1, world.keepers().size());
+        List<String> reachableVms = reachableVms();
+        int reachable = Math.max(1, reachableVms.size());
         int routers = Math.max(world.routerCount(), reachable);
         double allowedPerSecond = row.allowedPerSecond(nowMillis);
-        Optional<Incarnation> self = world.localKeeper();
+        Optional<String> self = world.localKeeper().map(Incarnation::vm);
         boolean isUnused = nowMillis - row.heardMillis() > UNUSED_MILLIS;
         if (isUnused || self.isEmpty()) {
             return allowedPerSecond / routers;
         }
         double reachablePerSecond = allowedPerSecond * reachable / routers;
-        List<Incarnation> users = users(row.endpoint(), reachablePerSecond);
+        long maxUsers = (long) (MIN_USERS + USERS_PER_REQUEST_PER_SECOND * reachablePerSecond);
+        List<String> users =
+                Rendezvous.order(row.endpoint().value(), reachableVms).stream()
+                        .limit(maxUsers)
+                        .toList();
         return users.contains(self.get())
                 ? reachablePerSecond * demandShare(row.endpoint(), self.get(), users)
                 : 0;
     }
 
-    private List<Incarnation> users(EndpointId endpoint, double reachablePerSecond) {
-        long maxUsers = (long) (MIN_USERS + USERS_PER_REQUEST_PER_SECOND * reachablePerSecond);
-        return Rendezvous.firsts(endpoint.value(), world.keepers(), maxUsers);
+    /**
+     * Returns the VMs that this router can reach. It is connected to the holders only, so it takes
+     * the other VMs of a zone as reachable if it reaches a holder there.
+     */
+    private List<String> reachableVms() {
+        Set<String> connected =
+                world.keepers().stream().map(Incarnation::vm).collect(Collectors.toSet());
+        if (world.holders().isEmpty()) {
+            return List.copyOf(connected);
+        }
+        return world.vms()
+                .rows()
+                .filter(row -> isReachable(row, connected))
+                .map(VmRow::vm)
+                .toList();
+    }
+
+    private boolean isReachable(VmRow row, Set<String> connected) {
+        boolean isReachedZone =
+                row.zone().equals(world.zone())
+                        || world.holders().holdersOf(row.zone()).stream()
+                                .anyMatch(connected::contains);
+        return connected.contains(row.vm()) || isReachedZone && !world.holders().contains(row.vm());
     }
 
-    private double demandShare(EndpointId endpoint, Incarnation self, List<Incarnation> users) {
+    private double demandShare(EndpointId endpoint, String self, List<String> users) {
         String backEnd = world.endpoints().find(endpoint).map(EndpointRow::backEnd).orElse("");
         double known = 0;
         int unknown = 0;
-        for (Incarnation user : users) {
+        for (String user : users) {
             Optional<Double> demand = demand(backEnd, user);
             known += demand.orElse(0.0);
             unknown += demand.isPresent() ? 0 : 1;
@@ -63,13 +90,13 @@
     }
 
     /** Returns the demand of a router; that of one that has not told it is taken as the mean. */
-    private double boundedDemand(String backEnd, Incarnation user, double mean) {
+    private double boundedDemand(String backEnd, String user, double mean) {
         return Math.max(MIN_DEMAND_FACTOR * mean, demand(backEnd, user).orElse(mean));
     }
 
-    private Optional<Double> demand(String backEnd, Incarnation user) {
-        return world.localKeeper().filter(user::equals).isPresent()
+    private Optional<Double> demand(String backEnd, String user) {
+        return world.localKeeper().map(Incarnation::vm).filter(user::equals).isPresent()
                 ? Optional.of(new RateLimits(world, nowMillis).demandPerSecond(backEnd))
-                : world.demands().find(new RouterWorld.DemandSource(user.vm(), backEnd));
+                : world.demands().find(new RouterWorld.DemandSource(user, backEnd));
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/Rendezvous.java
+++ b/core/src/main/java/org/bramleylatch/core/Rendezvous.java
@@ -27,9 +27,18 @@
         return byWeight.values().stream().limit(maxCandidates).toList();
     }
 
+    /** Returns the names in the order for the key. */
+    static List<String> order(String key, Collection<String> names) {
+        Map<Long, String> byWeight = new TreeMap<>(Comparator.reverseOrder());
+        names.forEach(name -> byWeight.put(weight(key, name), name));
+        return List.copyOf(byWeight.values());
+    }
+
     private static long weight(String key, Incarnation candidate) {
-        return Hashing.murmur3_128()
-                .hashString(key + '/' + candidate.value(), StandardCharsets.UTF_8)
-                .asLong();
+        return weight(key, candidate.value());
+    }
+
+    private static long weight(String key, String name) {
+        return Hashing.murmur3_128().hashString(key + '/' + name, StandardCharsets.UTF_8).asLong();
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /** Reserves tokens for waiting requests, oldest first, as far as this keeper's grants suffice. */
 record ReservationSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
@@ -50,6 +51,8 @@
     private void reserveOrRefuse(KeeperWorld world, ReservationRow row) {
         if (world.availableTokens(row.budget()) >= row.tokens()) {
             reserveAndNotify(world, row);
+        } else if (UsableShareSystem.canWaitForWholeGrant(world, limits, row)) {
+            UsableShareSystem.wantWholeGrant(world, row.budget());
         } else if (cannotBeServedInTime(world, row)
                 || shortageCode(world, row) != ResultCode.BUDGET_UNAVAILABLE) {
             refuse(world, row);
@@ -74,7 +77,8 @@
     static boolean isCoveredWithFreeTokens(KeeperWorld world, ReservationRow row) {
         long freeTokens =
                 world.ledger().budgets().find(row.budget()).map(BudgetRow::freeTokens).orElse(0L);
-        long usableTokens = freeTokens * world.usablePermille() / UsableShareSystem.WHOLE_PERMILLE;
+        long usableTokens =
+                freeTokens * world.usablePermille(row.budget()) / UsableShareSystem.WHOLE_PERMILLE;
         return usableTokens + world.availableTokens(row.budget()) >= row.tokens();
     }
 
@@ -109,20 +113,20 @@
                 : code;
     }
 
-    private static ResultCode shortageCode(KeeperWorld world, ReservationRow row) {
-        boolean mayBeFunded =
-                !world.isLogReachable() || world.configuredBudgets().contains(row.budget());
-        ResultCode ifAbsent =
-                mayBeFunded ? ResultCode.BUDGET_UNAVAILABLE : ResultCode.UNKNOWN_BUDGET;
-        return world.ledger()
-                .budgets()
-                .find(row.budget())
-                .map(budget -> budget.paidTokens() - budget.settledTokens() < row.tokens())
-                .map(
-                        exhausted ->
-                                exhausted
-                                        ? ResultCode.BUDGET_EXHAUSTED
-                                        : ResultCode.BUDGET_UNAVAILABLE)
-                .orElse(ifAbsent);
+    /** Tells a budget that is used up or unknown from one whose tokens are held elsewhere. */
+    static ResultCode shortageCode(KeeperWorld world, ReservationRow row) {
+        Optional<BudgetFunds> configured = world.configuredFunds().find(row.budget());
+        Optional<BudgetRow> budget = world.ledger().budgets().find(row.budget());
+        if (budget.isEmpty()) {
+            boolean mayBeFunded = !world.isLogReachable() || configured.isPresent();
+            return mayBeFunded ? ResultCode.BUDGET_UNAVAILABLE : ResultCode.UNKNOWN_BUDGET;
+        }
+        long paidTokens =
+                Math.max(
+                        budget.get().paidTokens(),
+                        configured.map(BudgetFunds::paidTokens).orElse(0L));
+        return paidTokens - budget.get().settledTokens() < row.tokens()
+                ? ResultCode.BUDGET_EXHAUSTED
+                : ResultCode.BUDGET_UNAVAILABLE;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -34,6 +34,7 @@
 import org.bramleylatch.core.RouterInput.TokensArrived;
 import org.bramleylatch.core.RouterInput.UsageDurable;
 import org.bramleylatch.core.RouterInput.UsageHeld;
+import org.bramleylatch.core.RouterInput.VmsAnnounced;
 
 /** Passes each message of the inbox to its handler, which updates the router's tables. */
 record RouterInboxSystem(RouterLimits limits, FailureHandler failures)
@@ -140,6 +141,7 @@
                 .on(KeeperUp.class, fleet::addKeeper)
                 .on(LocalKeeperUp.class, fleet::setLocalKeeper)
                 .on(RoutersCounted.class, fleet::raiseRouterCount)
+                .on(VmsAnnounced.class, fleet::applyVms)
                 .on(KeeperDown.class, fleet::removeKeeper)
                 .on(MoveChanged.class, fleet::applyMove)
                 .on(ReportReceived.class, received -> reportHandlers.apply(received.report()))
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -73,6 +73,15 @@
     /** Carries the number of known routers, this one and possibly stopped ones included. */
     record RoutersCounted(int count) implements RouterInput {}
 
+    /** Carries entry VMs that announced themselves; those that were announced before stay known. */
+    record VmsAnnounced(List<VmRow> vms) implements RouterInput {
+
+        /** Copies the list. */
+        public VmsAnnounced {
+            vms = List.copyOf(vms);
+        }
+    }
+
     /** Reports that the keeper in the same process runs; it is preferred to all others. */
     record LocalKeeperUp(Incarnation keeper) implements RouterInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -52,6 +52,9 @@
     /** Live endpoints register again within 2 s after an outage of the registry. */
     private static final long REGISTRY_GRACE_MILLIS = 2_300;
 
+    /** Covers a holder's own wait for the log and a few round trips within a zone. */
+    private static final long RESERVE_TIMEOUT_MILLIS = 300;
+
     /** Covers a lender's own wait for the log and a few round trips between zones. */
     private static final long LENDER_TIMEOUT_MILLIS = 160;
 
@@ -92,7 +95,7 @@
                 standard.maxOpenRequests,
                 standard.maxQueuedRequests,
                 standard.maxAttempts,
-                standard.reserveTimeoutMillis,
+                RESERVE_TIMEOUT_MILLIS,
                 FIRST_TOKEN_TIMEOUT_MILLIS,
                 STALL_TIMEOUT_MILLIS,
                 standard.usageHoldTimeoutMillis,
--- a/core/src/main/java/org/bramleylatch/core/RouterTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -9,6 +9,9 @@
     /** Ends the wait for a keeper's answer to a reservation. */
     record ReserveTimeout(RequestId request) implements RouterTimer {}
 
+    /** Lets the router ask a keeper again that left a reservation without an answer. */
+    record KeeperRetrial(Incarnation keeper) implements RouterTimer {}
+
     /** Checks whether an attempt is paused, or its endpoint silent, for too long. */
     record AttemptSilenceCheck(AttemptId attempt) implements RouterTimer {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -14,6 +14,8 @@
 /** Handles the timers that are due: expires requests and reservations, and checks attempts. */
 record RouterTimerSystem(RouterLimits limits, FailureHandler failures)
         implements TickSystem<RouterWorld> {
+    /** Longer than most freezes of a process, and shorter than a grant lasts. */
+    private static final long KEEPER_RETRIAL_MILLIS = 2_000;
 
     @Override
     public void run(RouterWorld world, long nowMillis) {
@@ -24,6 +26,9 @@
                                 ReserveTimeout.class,
                                 due -> expireReserve(world, due.request(), nowMillis))
                         .on(AttemptSilenceCheck.class, due -> checkSilence(world, due, nowMillis))
+                        .on(
+                                RouterTimer.KeeperRetrial.class,
+                                due -> world.silentKeepers().remove(due.keeper()))
                         .on(QueueTimeout.class, due -> expireQueued(world, due.request()))
                         .on(
                                 WithdrawalDue.class,
@@ -73,17 +78,22 @@
     private boolean expireReserve(RouterWorld world, RequestId id, long nowMillis) {
         Optional<RequestRow> row =
                 world.requests().find(id).filter(found -> found.stage() == Stage.RESERVING);
-        row.flatMap(RequestRow::keeper).ifPresent(keeper -> removeSilentKeeper(world, keeper));
+        row.flatMap(RequestRow::keeper).ifPresent(keeper -> markSilent(world, keeper, nowMillis));
         row.ifPresent(found -> askAnotherKeeper(world, found, nowMillis));
         return row.isPresent();
     }
 
-    private static void removeSilentKeeper(RouterWorld world, Incarnation keeper) {
-        world.keepers().remove(keeper);
-        world.note(
-                EventKind.KEEPER_LOST,
-                keeper,
-                "no answer within the timeout, keepers=" + world.keepers().size());
+    /** Lets other keepers be asked for a while; the connection may be sound and the keeper slow. */
+    private static void markSilent(RouterWorld world, Incarnation keeper, long nowMillis) {
+        boolean isLocal = world.localKeeper().filter(keeper::equals).isPresent();
+        if (!isLocal && world.keepers().contains(keeper) && world.silentKeepers().add(keeper)) {
+            world.timers()
+                    .set(new RouterTimer.KeeperRetrial(keeper), nowMillis + KEEPER_RETRIAL_MILLIS);
+            world.note(
+                    EventKind.KEEPER_SILENT,
+                    keeper,
+                    "no answer within the timeout, keepers=" + world.keepers().size());
+        }
     }
 
     private void askAnotherKeeper(RouterWorld world, RequestRow row, long nowMillis) {
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -1,6 +1,7 @@
 package org.bramleylatch.core;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,9 +10,12 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /** Holds the tables of one router, such as its requests, attempts and endpoints. */
 public final class RouterWorld implements World<RouterInput, RouterOutput> {
+    private static final int MAX_RELAYS = 2;
+
     private final Mailbox<RouterInput> inbox = Mailbox.empty();
     private final Mailbox<RouterOutput> outbox = Mailbox.empty();
     private final Table<RequestId, RequestRow> requests = Table.empty();
@@ -32,11 +36,14 @@
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
+    private final Set<Incarnation> silentKeepers = new LinkedHashSet<>();
+    private final Table<String, VmRow> vms = Table.empty();
     private final Deadlines<RouterTimer> timers = Deadlines.empty();
     private final Incarnation self;
     private final Zone zone;
     private final Supplier<AttemptId> attemptIds;
     private Configuration configuration = Configuration.empty();
+    private HolderSelection holders = HolderSelection.none();
     private Optional<Incarnation> localKeeper = Optional.empty();
     private boolean stopping;
     private int routerCount = 1;
@@ -115,6 +122,25 @@
         return keepers;
     }
 
+    /** Returns the connected keepers that lately left a reservation without an answer. */
+    Set<Incarnation> silentKeepers() {
+        return silentKeepers;
+    }
+
+    /** Returns the VMs that announced themselves, by name. */
+    Table<String, VmRow> vms() {
+        return vms;
+    }
+
+    /** Returns the VMs whose keepers hold grants; empty until VMs announce themselves. */
+    HolderSelection holders() {
+        return holders;
+    }
+
+    void setHolders(HolderSelection selection) {
+        holders = selection;
+    }
+
     /** Returns the latest move of each route with the attempts that this router counted. */
     public Table<RouteName, RouterMoveRow> moves() {
         return moves;
@@ -268,19 +294,26 @@
     }
 
     /**
-     * Returns the keeper for the budget: the local one, or else the connected one that ranks first
-     * by rendezvous hashing. Empty if no keeper is connected.
+     * Returns the keeper that this zone's routers ask first for tokens of the budget. Empty if no
+     * keeper is connected.
      */
     Optional<Incarnation> keeperOf(BudgetId budget) {
-        return localKeeper.or(() -> Rendezvous.first(budget.value(), keepers));
+        return new HolderOrder(this).inZone(budget.value()).stream().findFirst();
     }
 
     /**
      * Returns true if this router is the one that all routers with the same connections choose for
-     * the key. Always false without a local keeper.
+     * the key; where VMs announced themselves, it is one beside a holder. Always false without a
+     * local keeper.
      */
     boolean isChosenRouter(String key) {
-        return localKeeper.isPresent() && localKeeper.equals(Rendezvous.first(key, keepers));
+        Set<Incarnation> candidates =
+                keepers.stream()
+                        .filter(keeper -> holders.isEmpty() || holders.contains(keeper.vm()))
+                        .collect(Collectors.toSet());
+        return localKeeper.isPresent()
+                && localKeeper.equals(
+                        Rendezvous.first(key, candidates.isEmpty() ? keepers : candidates));
     }
 
     /** Tells all other routers, through the keepers, and stores what they are told. */
@@ -289,14 +322,33 @@
         send(new RouterOutput.StoreReport(report));
     }
 
-    /** Tells all other routers, through the keepers. */
+    /** Tells all other routers, through the keepers that they are connected to. */
     void report(RouterReport report) {
         KeeperInput message = new KeeperInput.RouterReported(report);
-        localKeeper.map(Set::of).orElse(keepers).stream()
+        relays().stream()
                 .map(keeper -> new RouterOutput.ToKeeper(keeper, message))
                 .forEach(this::send);
     }
 
+    /**
+     * Returns the local keeper if all other routers connect to it. Otherwise two holders of the
+     * zone, as one may be about to end; without VMs that announced themselves, all keepers.
+     */
+    private Collection<Incarnation> relays() {
+        if (holders.isEmpty()) {
+            return localKeeper.map(Set::of).orElse(keepers);
+        }
+        return localKeeper
+                .filter(keeper -> holders.contains(keeper.vm()))
+                .map(List::of)
+                .orElseGet(
+                        () ->
+                                new HolderOrder(this)
+                                        .inZone(self.stableName()).stream()
+                                                .limit(MAX_RELAYS)
+                                                .toList());
+    }
+
     /**
      * Returns the endpoints that may serve the request now, in order of their ids. Unless the route
      * allows resumption anywhere, a partly delivered answer has only its latest endpoint, even if
--- a/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
@@ -9,6 +9,9 @@
     private static final int JITTER_STEPS = 1_000;
     private static final double MAX_JITTER = 0.25;
 
+    /** Leaves the snapshots to the holders while there are any. */
+    private static final double INACTIVE_FACTOR = 2;
+
     @Override
     public void run(KeeperWorld world, long nowMillis) {
         if (world.ledger().nextOffset() == 0) {
@@ -69,6 +72,7 @@
     private static long withJitter(KeeperWorld world, long interval) {
         double fraction =
                 Math.floorMod(world.self().hashCode(), JITTER_STEPS) / (double) JITTER_STEPS;
-        return interval + Math.round(interval * MAX_JITTER * fraction);
+        double factor = world.isActive() ? 1 : INACTIVE_FACTOR;
+        return Math.round(interval * factor * (1 + MAX_JITTER * fraction));
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/UsableShareSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/UsableShareSystem.java
@@ -17,6 +17,47 @@
                 nowMillis >= world.lastHeartbeatMillis() + limits.fullGrantAfterMillis();
         boolean usesFullGrant = world.isLogLost() && heartbeatExpired;
         world.setUsablePermille(usesFullGrant ? WHOLE_PERMILLE : limits.usablePermille());
+        world.wholeGrantsWanted().removeIf(budget -> hasAmpleFreeTokens(world, budget));
+    }
+
+    /**
+     * Returns true if only the rest of this keeper's grant can cover the request, and the log can
+     * be told in time that the rest is used. These are the last tokens of a budget.
+     */
+    static boolean canWaitForWholeGrant(
+            KeeperWorld world, KeeperLimits limits, ReservationRow row) {
+        return limits.limitsUsableShare()
+                && world.isLogReachable()
+                && world.idleTokens(row.budget()) >= row.tokens()
+                && !ReservationSystem.isCoveredWithFreeTokens(world, row)
+                && !world.wholeGrantsConfirmed().contains(row.budget());
+    }
+
+    /**
+     * Lets the heartbeats name the budget. Once such a heartbeat is in the log, a successor returns
+     * nothing of the grant, so that this keeper may use all of it.
+     */
+    static void wantWholeGrant(KeeperWorld world, BudgetId budget) {
+        if (world.wholeGrantsWanted().add(budget)) {
+            world.writer().addEmptyBatch();
+            world.note(EventKind.WHOLE_GRANT_WANTED, budget, "open=" + world.openTokens(budget));
+        }
+    }
+
+    /** Allows the use of whole grants that a heartbeat names, which is now in the log. */
+    static void confirm(KeeperWorld world, LedgerRecord.HolderHeartbeat heartbeat) {
+        heartbeat.beyondShare().stream()
+                .filter(world.wholeGrantsWanted()::contains)
+                .filter(world.wholeGrantsConfirmed()::add)
+                .forEach(world.changedBudgets()::add);
+    }
+
+    private static boolean hasAmpleFreeTokens(KeeperWorld world, BudgetId budget) {
+        return world.ledger()
+                .budgets()
+                .find(budget)
+                .filter(row -> row.freeTokens() > world.openTokens(budget))
+                .isPresent();
     }
 
     /** Creates this keeper's heartbeat record and stores its time in the world. */
@@ -24,10 +65,15 @@
         List<BudgetId> beyondShare =
                 world.grantUses()
                         .rows()
-                        .filter(row -> !isWithinShare(world, row, limits.usablePermille()))
+                        .filter(
+                                row ->
+                                        world.wholeGrantsWanted().contains(row.budget())
+                                                || !isWithinShare(
+                                                        world, row, limits.usablePermille()))
                         .map(GrantUseRow::budget)
                         .sorted()
                         .toList();
+        world.wholeGrantsConfirmed().retainAll(beyondShare);
         world.setLastHeartbeatMillis(nowMillis);
         return new LedgerRecord.HolderHeartbeat(
                 world.self(),
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/HolderOrderTest.java
@@ -0,0 +1,131 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class HolderOrderTest {
+    private static final Zone OTHER_ZONE = Zone.of("huttwil");
+    private static final Incarnation LOCAL = Incarnation.of("keeper@weak-1");
+    private static final List<Incarnation> OF_ZONE =
+            List.of(Incarnation.of("keeper@strong-1"), Incarnation.of("keeper@strong2-1"));
+    private static final Incarnation OF_OTHER_ZONE = Incarnation.of("keeper@far-1");
+    private static final RouterLimits LIMITS = RouterLimits.colocatedWithKeeper(56, 200, 10_000);
+
+    private final RouterHarness router = new RouterHarness(Placement.byAffinity(), LIMITS);
+
+    HolderOrderTest() {
+        router.receive(new RouterInput.KeeperDown(RouterHarness.KEEPER));
+        router.receive(new RouterInput.LocalKeeperUp(LOCAL));
+        router.receive(
+                new RouterInput.VmsAnnounced(
+                        List.of(
+                                new VmRow("weak", RouterHarness.ZONE, 360),
+                                new VmRow("strong", RouterHarness.ZONE, 1_500),
+                                new VmRow("strong2", RouterHarness.ZONE, 1_500),
+                                new VmRow("far", OTHER_ZONE, 1_500))));
+        Stream.concat(OF_ZONE.stream(), Stream.of(OF_OTHER_ZONE))
+                .forEach(keeper -> router.receive(new RouterInput.KeeperUp(keeper)));
+    }
+
+    @Test
+    void theTokensOfABudgetAreAskedOfTheSameHolderByAllRoutersOfTheZone() {
+        Incarnation first = firstHolder();
+        assertThat(OF_ZONE).contains(first);
+        router.receive(new RouterInput.LocalKeeperUp(Incarnation.of("keeper@weak2-1")));
+        assertThat(firstHolder()).isEqualTo(first);
+    }
+
+    @Test
+    void aHolderThatDoesNotAnswerIsPassedOverForAWhileAndThenAskedAgain() {
+        Incarnation first = firstHolder();
+        router.arrive(RouterHarness.CHAT, 100, 50);
+        router.advance(LIMITS.reserveTimeoutMillis());
+        assertThat(lastAsk().keeper()).isNotEqualTo(first).isIn(OF_ZONE);
+        router.advance(2_000);
+        assertThat(firstHolder()).isEqualTo(first);
+    }
+
+    @Test
+    void aHolderThatAnswersLateIsAskedAgainAtOnce() {
+        Incarnation first = firstHolder();
+        RequestKey key = router.arrive(RouterHarness.CHAT, 100, 50);
+        router.advance(LIMITS.reserveTimeoutMillis());
+        GrantKey grant = GrantKey.of(RouterHarness.BUDGET, first);
+        router.receive(new RouterInput.ReserveGranted(first, key, grant));
+        assertThat(firstHolder()).isEqualTo(first);
+        assertThat(router.messagesToKeepers(KeeperInput.ReservationReleased.class))
+                .as("the second holder's answer decides")
+                .hasSize(1);
+    }
+
+    @Test
+    void aHolderThatDoesNotAnswerStillGetsTheUsageOfItsGrants() {
+        Incarnation first = firstHolder();
+        router.endpoints("seilhelfer-1");
+        RequestKey key = router.arrive(RouterHarness.CHAT, 100, 50);
+        GrantKey grant = GrantKey.of(RouterHarness.BUDGET, first);
+        router.receive(new RouterInput.ReserveGranted(first, key, grant));
+        AttemptId attempt =
+                router.lastOutput(RouterOutput.StartAttempt.class).orElseThrow().attempt();
+        router.arrive(RouterHarness.CHAT, 100, 50);
+        router.advance(LIMITS.reserveTimeoutMillis());
+        router.receiveToken(attempt, 0);
+        router.receive(new RouterInput.AnswerEnded(attempt, 1, "stop"));
+        assertThat(
+                        router.outputs(RouterOutput.ToKeeper.class).stream()
+                                .filter(
+                                        sent ->
+                                                sent.message()
+                                                        instanceof KeeperInput.UsageSubmitted)
+                                .map(RouterOutput.ToKeeper::keeper))
+                .containsExactly(first);
+    }
+
+    @Test
+    void theLocalKeeperIsAskedIfNoHolderOfTheZoneIsConnected() {
+        OF_ZONE.forEach(keeper -> router.receive(new RouterInput.KeeperDown(keeper)));
+        assertThat(firstHolder()).isEqualTo(LOCAL);
+    }
+
+    @Test
+    void aHolderThatCannotReadTheLogIsFollowedByTheFirstHoldersOfOtherZones() {
+        RequestKey key = router.arrive(RouterHarness.CHAT, 100, 50);
+        for (int asked = 0; asked < 4; asked++) {
+            router.receive(
+                    new RouterInput.ReserveRefused(
+                            lastAsk().keeper(), key, ResultCode.LOG_UNAVAILABLE));
+        }
+        assertThat(
+                        router.outputs(RouterOutput.ToKeeper.class).stream()
+                                .map(RouterOutput.ToKeeper::keeper))
+                .contains(OF_OTHER_ZONE)
+                .doesNotHaveDuplicates();
+    }
+
+    /** Guards against a 4xx for a tenant that a holder's older configuration does not know. */
+    @Test
+    void aBudgetThatOnlyAHolderDoesNotKnowIsNotRefusedForGood() {
+        RequestKey key = router.arrive(RouterHarness.CHAT, 100, 50);
+        router.receive(
+                new RouterInput.ReserveRefused(lastAsk().keeper(), key, ResultCode.UNKNOWN_BUDGET));
+        assertThat(lastAsk().keeper()).isEqualTo(LOCAL);
+        assertThat(router.outputs(RouterOutput.Refuse.class)).isEmpty();
+        router.receive(new RouterInput.ReserveRefused(LOCAL, key, ResultCode.BUDGET_UNAVAILABLE));
+        assertThat(router.lastOutput(RouterOutput.Refuse.class).map(RouterOutput.Refuse::code))
+                .contains(ResultCode.BUDGET_UNAVAILABLE);
+    }
+
+    private Incarnation firstHolder() {
+        return router.world.keeperOf(RouterHarness.BUDGET).orElseThrow();
+    }
+
+    private RouterOutput.ToKeeper lastAsk() {
+        return router.outputs(RouterOutput.ToKeeper.class).stream()
+                .filter(sent -> sent.message() instanceof KeeperInput.ReserveAsked)
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+}
--- a/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
@@ -98,9 +98,13 @@
         return endOffset;
     }
 
+    /** Reads without a wait until the end is reached, as a stream without records has no news. */
     private CompletableFuture<LogPage> readNext(long waitMillis) {
         return logService.read(
-                LogStreams.LEDGER, cursor.readOffset(), MAX_READ_RECORDS, waitMillis);
+                LogStreams.LEDGER,
+                cursor.readOffset(),
+                MAX_READ_RECORDS,
+                caughtUp ? waitMillis : 0);
     }
 
     /** Appends a batch. A failure is only logged: the writer of the batch sends it again. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -33,6 +33,7 @@
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RouterSystems;
 import org.bramleylatch.core.RouterWorld;
+import org.bramleylatch.core.VmRow;
 import org.bramleylatch.edge.FailureLog;
 import org.bramleylatch.edge.HttpServers;
 import org.bramleylatch.edge.HybridLogicalClock;
@@ -46,6 +47,7 @@
 import org.bramleylatch.edge.RouterConnections;
 import org.bramleylatch.edge.TickLoop;
 import org.bramleylatch.platform.BootFile;
+import org.bramleylatch.platform.PeerEntry;
 import org.bramleylatch.platform.PlatformLimits;
 import org.bramleylatch.platform.StoreClient;
 import org.bramleylatch.wire.Address;
@@ -200,10 +202,13 @@
         return new PeerDirectory(
                 vertx,
                 store,
-                boot.vm(),
-                boot.internalAddress(),
+                new PeerEntry(
+                        new VmRow(boot.vm(), boot.zone(), boot.limits().processorPermille()),
+                        boot.internalAddress()),
+                settings.holderSettleMillis(),
                 keeperConnections::connect,
-                routerLoop::offer);
+                routerLoop::offer,
+                keeperLoop::offer);
     }
 
     /**
@@ -267,6 +272,7 @@
         routerLoop.offer(new RouterInput.LocalKeeperUp(keeper));
         keeperLoop.offer(new KeeperInput.ProcessStarted(clock.bootMillis(), clock.startMillis()));
         keeperLoop.offer(new KeeperInput.RouterConnected(router));
+        keeperLoop.offer(new KeeperInput.HolderSelected(false));
         new StoreFollowers(
                         store,
                         settings,
@@ -274,9 +280,9 @@
                         endpointRegistry,
                         ledgerStream,
                         peerDirectory,
-                        reportStore)
+                        reportStore,
+                        () -> keeperLoop.world().isActive())
                 .follow();
-        peerDirectory.announce();
         new OrphanWatch(vertx, routerLoop.world(), callerServer, endpointClient, metricsRegistry)
                 .start();
         Router monitoringRoutes = Router.router(vertx);
@@ -323,7 +329,9 @@
         return !isStopping()
                 && routerLoop.world().configuration().isKnown()
                 && configurationReceiver.isCaughtUp()
-                && ledgerStream.isCaughtUp();
+                && ledgerStream.isCaughtUp()
+                && peerDirectory.hasSelected()
+                && keeperLoop.world().isFunded();
     }
 
     private boolean isStopping() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewaySettings.java
@@ -19,20 +19,27 @@
  * @param logLinesPerSecond maximum number of lines per second in the event log
  * @param storeWaitMillis how long a read of the store waits for new records
  * @param ledgerPauseMillis pause between reads of the ledger, so that records arrive in batches
+ * @param inactiveLedgerPauseMillis the same while this VM's keeper holds no grants
+ * @param holderSettleMillis how long after a new VM the holders are selected anew, so that VMs that
+ *     start together are considered together
  */
 public record GatewaySettings(
         long grantHorizonMillis,
         long smallestGrantTokens,
         int logLinesPerSecond,
         long storeWaitMillis,
-        long ledgerPauseMillis) {
+        long ledgerPauseMillis,
+        long inactiveLedgerPauseMillis,
+        long holderSettleMillis) {
     private static final Set<String> FIELDS =
             Set.of(
                     "grantHorizonMillis",
                     "smallestGrantTokens",
                     "logLinesPerSecond",
                     "storeWaitMillis",
-                    "ledgerPauseMillis");
+                    "ledgerPauseMillis",
+                    "inactiveLedgerPauseMillis",
+                    "holderSettleMillis");
 
     /**
      * Parses the settings, all of which are required.
@@ -54,7 +61,9 @@
                 readPositive(source, root, "smallestGrantTokens"),
                 (int) readPositive(source, root, "logLinesPerSecond"),
                 readPositive(source, root, "storeWaitMillis"),
-                readPositive(source, root, "ledgerPauseMillis"));
+                readPositive(source, root, "ledgerPauseMillis"),
+                readPositive(source, root, "inactiveLedgerPauseMillis"),
+                readPositive(source, root, "holderSettleMillis"));
     }
 
     /**
--- a/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
@@ -1,20 +1,27 @@
 package org.bramleylatch.gateway;
 
 import io.vertx.core.Vertx;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
+import org.bramleylatch.core.HolderSelection;
+import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.RouterInput;
+import org.bramleylatch.core.VmRow;
 import org.bramleylatch.edge.RecordGuard;
-import org.bramleylatch.platform.Addresses;
 import org.bramleylatch.platform.KeyedChange;
 import org.bramleylatch.platform.KeyedPage;
+import org.bramleylatch.platform.PeerEntry;
 import org.bramleylatch.platform.StoreClient;
 import org.bramleylatch.wire.Address;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Publishes this process's address to its peers in the store and discovers their addresses. */
+/**
+ * Publishes this process to its peers in the store, discovers them, and connects to those that are
+ * selected as holders.
+ */
 final class PeerDirectory {
     private static final Logger LOG = LoggerFactory.getLogger(PeerDirectory.class);
     private static final RecordGuard GUARD = RecordGuard.of("peers");
@@ -22,53 +29,95 @@
 
     private final Vertx vertx;
     private final StoreClient store;
-    private final String vm;
-    private final Address ownAddress;
-    private final Consumer<Address> onPeerFound;
-    private final Consumer<RouterInput> inbox;
-    private final Set<String> knownVms = new HashSet<>();
+    private final PeerEntry self;
+    private final Consumer<Address> onHolderFound;
+    private final Consumer<RouterInput> routerInbox;
+    private final Consumer<KeeperInput> keeperInbox;
+    private final Map<String, PeerEntry> peers = new HashMap<>();
+    private final long settleMillis;
+    private boolean announced;
+    private boolean selectionScheduled;
+    private boolean selected;
 
     /**
      * Creates a directory that knows only this process; nothing is announced yet.
      *
-     * @param onPeerFound receives the address of each peer, possibly more than once
-     * @param inbox receives the number of known routers, this one included
+     * @param self what this process publishes
+     * @param settleMillis how long to wait for the VMs that start together before holders are
+     *     selected among them
+     * @param onHolderFound receives the address of each holder, possibly more than once
+     * @param routerInbox receives the known VMs and their number, this one included
+     * @param keeperInbox receives whether this VM is selected as a holder
      */
     PeerDirectory(
             Vertx vertx,
             StoreClient store,
-            String vm,
-            Address ownAddress,
-            Consumer<Address> onPeerFound,
-            Consumer<RouterInput> inbox) {
+            PeerEntry self,
+            long settleMillis,
+            Consumer<Address> onHolderFound,
+            Consumer<RouterInput> routerInbox,
+            Consumer<KeeperInput> keeperInbox) {
         this.vertx = vertx;
         this.store = store;
-        this.vm = vm;
-        this.ownAddress = ownAddress;
-        this.onPeerFound = onPeerFound;
-        this.inbox = inbox;
-        knownVms.add(vm);
+        this.self = self;
+        this.settleMillis = settleMillis;
+        this.onHolderFound = onHolderFound;
+        this.routerInbox = routerInbox;
+        this.keeperInbox = keeperInbox;
+        peers.put(self.vm().vm(), self);
     }
 
-    /** Writes the address of this process to the store, and retries until that succeeds. */
-    void announce() {
-        store.putPeer(vm, ownAddress).exceptionally(this::retry);
+    /** Returns true once holders were selected for the first time. */
+    boolean hasSelected() {
+        return selected;
     }
 
     /**
      * Adds the peers in a page of their stream. A peer that was removed still counts as a router.
+     * The first page tells whether this VM was known before this run; then so were its peers, and
+     * nothing is waited for.
      */
     void receivePage(KeyedPage page) {
+        boolean wasKnown = !announced && page.contains(self.vm().vm());
         page.applyEach(GUARD, this::addPeer);
-        inbox.accept(new RouterInput.RoutersCounted(knownVms.size()));
+        if (!announced) {
+            announced = true;
+            publish();
+        }
+        routerInbox.accept(new RouterInput.RoutersCounted(peers.size()));
+        routerInbox.accept(new RouterInput.VmsAnnounced(vms()));
+        if (wasKnown) {
+            selectHolders();
+        } else if (!selectionScheduled) {
+            selectionScheduled = true;
+            vertx.setTimer(settleMillis, ignored -> selectHolders());
+        }
     }
 
     private void addPeer(KeyedChange change) {
-        knownVms.add(change.key());
         change.value()
-                .flatMap(Addresses::parse)
-                .filter(address -> !address.equals(ownAddress))
-                .ifPresent(onPeerFound);
+                .flatMap(text -> PeerEntry.parse(change.key(), text))
+                .ifPresent(peer -> peers.put(change.key(), peer));
+    }
+
+    private void selectHolders() {
+        selectionScheduled = false;
+        selected = true;
+        HolderSelection holders = HolderSelection.among(vms());
+        keeperInbox.accept(new KeeperInput.HolderSelected(holders.contains(self.vm().vm())));
+        peers.values().stream()
+                .filter(peer -> !peer.vm().vm().equals(self.vm().vm()))
+                .filter(peer -> holders.contains(peer.vm().vm()))
+                .map(PeerEntry::address)
+                .forEach(onHolderFound);
+    }
+
+    private List<VmRow> vms() {
+        return peers.values().stream().map(PeerEntry::vm).toList();
+    }
+
+    private void publish() {
+        store.putPeer(self).exceptionally(this::retry);
     }
 
     private Long retry(Throwable failure) {
@@ -76,7 +125,7 @@
                 "publishing the address of this process failed, next attempt in {} ms: {}",
                 RETRY_MILLIS,
                 failure.getMessage());
-        vertx.setTimer(RETRY_MILLIS, ignored -> announce());
+        vertx.setTimer(RETRY_MILLIS, ignored -> publish());
         return null;
     }
 }
--- a/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import org.bramleylatch.core.ResultCode;
@@ -20,7 +21,8 @@
         EndpointRegistry endpointRegistry,
         LedgerStream ledgerStream,
         PeerDirectory peerDirectory,
-        ReportStore reportStore) {
+        ReportStore reportStore,
+        BooleanSupplier isKeeperActive) {
     /**
      * Long, as new peers and reports are rare, and no request depends on a keeper that is not known
      * yet.
@@ -46,7 +48,8 @@
                 changePace,
                 endpointRegistry::receivePage,
                 code -> endpointRegistry.markUnreachable());
-        ledgerStream.follow(pace(settings.storeWaitMillis(), settings.ledgerPauseMillis()));
+        ledgerStream.follow(
+                new ReadPace(settings.storeWaitMillis(), this::ledgerPauseMillis, MAX_RETRY_PAUSE));
         follow(
                 KeyedStream.peers(store)::read,
                 rareChangePace,
@@ -59,6 +62,12 @@
                 code -> {});
     }
 
+    private long ledgerPauseMillis() {
+        return isKeeperActive.getAsBoolean()
+                ? settings.ledgerPauseMillis()
+                : settings.inactiveLedgerPauseMillis();
+    }
+
     private static ReadPace pace(long waitMillis, long pauseMillis) {
         return new ReadPace(waitMillis, () -> pauseMillis, MAX_RETRY_PAUSE);
     }
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -40,6 +40,10 @@
              "tenants": [{"name": "ropes", "apiKeys": ["secret"], "prepaid": 100000}]}
             """;
 
+    /** The shipped settings, but without a wait for VMs that start at the same time. */
+    private static final GatewaySettings SETTINGS =
+            new GatewaySettings(9_000, 10_000, 400, 2_000, 60, 500, 1);
+
     final Vertx vertx = Vertx.vertx();
     final List<HttpServerRequest> receivedRequests = new CopyOnWriteArrayList<>();
 
@@ -64,13 +68,8 @@
                         anyPort,
                         store.address(),
                         300_000,
-                        new PlatformLimits(8_000, 200, 56, 10_000));
-        gateway =
-                GatewayDaemon.start(
-                                MonotonicClock.system(),
-                                boot,
-                                GatewaySettings.read("../deploy/gateway.json"))
-                        .join();
+                        new PlatformLimits(8_000, 200, 56, 10_000, 750));
+        gateway = GatewayDaemon.start(MonotonicClock.system(), boot, SETTINGS).join();
     }
 
     void stop() {
--- a/gateway/src/test/java/org/bramleylatch/gateway/OddRecordsTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/OddRecordsTest.java
@@ -101,7 +101,10 @@
             put("keyed.op", bytes("config"), odd(random, LATER_CONFIGURATION));
             put("keyed.op", bytes("rollout/app"), odd(random, ORDER));
             put("keyed.op", anyKey(random), odd(random, ORDER));
-            put("keyed.bramleylatch.peers", bytes("vm-" + index), odd(random, "\"10.0.0.1:1\""));
+            put(
+                    "keyed.bramleylatch.peers",
+                    bytes("vm-" + index),
+                    odd(random, "10.0.0.1:1 750 langnau"));
             put("keyed.bramleylatch.reports", anyKey(random), odd(random, REPORT));
             putLedgerRecord(random);
         }
