Give a router that asks again the reservation that it has

Cause: a router whose holder answers late asks others and then the holder again; that refused with REQUEST_IN_PROGRESS, which the caller got as 409. The same router asking for the same amount now gets its reservation again.

--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -79,6 +79,14 @@
         }
 
         private boolean reserve(ReserveAsked ask) {
+            if (isAskedAgain(world.reservations().find(ask.key()), ask)) {
+                GrantKey grant = GrantKey.of(ask.budget(), world.self());
+                world.outbox().add(new KeeperOutput.ReserveGranted(ask.router(), ask.key(), grant));
+                return true;
+            }
+            if (isAskedAgain(world.waitingReservations().find(ask.key()), ask)) {
+                return true;
+            }
             Optional<ResultCode> refusal = findRefusal(ask);
             if (refusal.isPresent()) {
                 world.outbox()
@@ -98,6 +106,15 @@
             return enqueue(newReservation(ask), limits.reserveWaitMillis());
         }
 
+        /** A router asks again after it asked others because this keeper's answer was late. */
+        private static boolean isAskedAgain(Optional<ReservationRow> row, ReserveAsked ask) {
+            return row.filter(known -> known.router().equals(ask.router()))
+                    .filter(known -> !known.orphaned())
+                    .filter(known -> known.budget().equals(ask.budget()))
+                    .filter(known -> known.tokens() == ask.tokens())
+                    .isPresent();
+        }
+
         private void recordDemand(ReserveAsked ask) {
             GrantUseRow grantUse =
                     world.findOrAddGrantUse(ask.budget(), nowMillis, limits.demandHalfLifeMillis());
