Follow what endpoints say of leaving and of pauses in their answers

Cause: the headers Server-Leaving and, with 503, Retry-After of endpoints were not read. Change: an endpoint that says it is leaving gets no new request from this router until it starts anew; one that asks for a pause gets none before its end (at most an hour). If all endpoints of a back end are paused, callers are refused at once and told when the first one takes requests again. Odd forms (twice, negative, a date, text, huge) are tested at the gateway; decided in EndpointSignals, decoded in platform. Measured: EndpointSignalsTest and EndpointHeaderTest pass; without the change they do not compile.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -41,6 +41,8 @@
     LENDER_ASKED,
     /** A router can now send requests to a keeper. */
     KEEPER_FOUND,
+    /** An endpoint refused a request and named a time in which it wants no others. */
+    ENDPOINT_PAUSED,
     /** A router lost the connection to a keeper. */
     KEEPER_LOST,
     /** A keeper left a reservation without an answer; others are asked for a while. */
--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -180,6 +180,7 @@
                             row.withLeavingSignals(row.leavingSignals().withListedAsLeaving(true)));
         } else {
             world.endpoints().remove(row.id());
+            world.endpointPauses().remove(row.id());
         }
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -50,7 +50,7 @@
         List<EndpointRow> accepting = acceptingEndpoints(world, row, nowMillis);
         long worstCaseTokens = row.spec().worstCaseTokens();
         if (accepting.stream().noneMatch(endpoint -> endpoint.canHold(worstCaseTokens))) {
-            refuseUnservable(world, row, accepting);
+            refuseUnservable(world, row, accepting, nowMillis);
             return;
         }
         RateLimits rateLimits = new RateLimits(world, nowMillis);
@@ -74,7 +74,14 @@
     }
 
     private static void refuseUnservable(
-            RouterWorld world, RequestRow row, List<EndpointRow> accepting) {
+            RouterWorld world, RequestRow row, List<EndpointRow> accepting, long nowMillis) {
+        Optional<Long> pauseMillis =
+                new EndpointSignals(world, nowMillis).pauseOf(row.spec().backEnd());
+        if (accepting.isEmpty() && row.deliveredTokens() == 0 && pauseMillis.isPresent()) {
+            RequestCompletion.refuse(
+                    world, row, ResultCode.OVERLOADED, "endpoints asked for a pause", pauseMillis);
+            return;
+        }
         ResultCode code =
                 row.deliveredTokens() > 0 ? ResultCode.ANSWER_INCOMPLETE : ResultCode.NO_ENDPOINT;
         String detail =
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -7,6 +7,8 @@
 import org.bramleylatch.core.RouterInput.CallerPaused;
 import org.bramleylatch.core.RouterInput.ConfigurationReceived;
 import org.bramleylatch.core.RouterInput.EndpointAnnounced;
+import org.bramleylatch.core.RouterInput.EndpointLeaving;
+import org.bramleylatch.core.RouterInput.EndpointPaused;
 import org.bramleylatch.core.RouterInput.EndpointProbed;
 import org.bramleylatch.core.RouterInput.EndpointReplaced;
 import org.bramleylatch.core.RouterInput.EndpointReported;
@@ -116,6 +118,7 @@
     private void addEndpointHandlers(
             Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
         RegistryUpdates registry = new RegistryUpdates(world, limits, nowMillis);
+        EndpointSignals signals = new EndpointSignals(world, nowMillis);
         handlers.on(EndpointAnnounced.class, registry::applyAnnouncement)
                 .on(EndpointWithdrawn.class, registry::applyWithdrawal)
                 .on(EndpointReplaced.class, replaced -> registry.remove(replaced.endpoint()))
@@ -123,6 +126,8 @@
                 .on(
                         EndpointProbed.class,
                         new SilenceDetection(world, limits, nowMillis)::applyProbe)
+                .on(EndpointLeaving.class, signals::applyLeaving)
+                .on(EndpointPaused.class, signals::applyPause)
                 .on(RateLimitObserved.class, new RateLimits(world, nowMillis)::applyObservation);
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -177,6 +177,12 @@
     record RateLimitObserved(EndpointId endpoint, Optional<Double> requestsPerSecond)
             implements RouterInput {}
 
+    /** Reports that an endpoint said in an answer that it is leaving. */
+    record EndpointLeaving(EndpointId endpoint) implements RouterInput {}
+
+    /** Reports that an endpoint refused a request and wants no others for the given time. */
+    record EndpointPaused(EndpointId endpoint, long pauseMillis) implements RouterInput {}
+
     /** Carries an operator's order; one that is older than a known one is ignored. */
     record RolloutOrdered(RolloutOrder order) implements RouterInput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -32,6 +32,7 @@
     private final Table<EndpointId, EndpointLimit> ownLimits = Table.empty();
     private final Table<DemandSource, Double> demands = Table.empty();
     private final Table<LimitSource, EndpointLimit> heardLimits = Table.empty();
+    private final Table<EndpointId, Long> endpointPauses = Table.empty();
     private final Table<AttemptId, SilenceRow> silences = Table.empty();
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
@@ -222,6 +223,11 @@
         return heardLimits;
     }
 
+    /** Returns until when endpoints want no requests, in milliseconds since the epoch. */
+    Table<EndpointId, Long> endpointPauses() {
+        return endpointPauses;
+    }
+
     /** Returns the latest silence of each running attempt that had one. */
     Table<AttemptId, SilenceRow> silences() {
         return silences;
@@ -386,12 +392,14 @@
 
     private List<EndpointRow> acceptingEndpoints(
             RequestRow row, Predicate<Version> version, Set<EndpointId> excluded, long nowMillis) {
+        EndpointSignals signals = new EndpointSignals(this, nowMillis);
         List<EndpointRow> accepting =
                 new ArrayList<>(
                         endpoints.where(
                                 endpoint ->
                                         endpoint.backEnd().equals(row.spec().backEnd())
                                                 && endpoint.acceptsWork(nowMillis)
+                                                && !signals.isPaused(endpoint.id())
                                                 && !excluded.contains(endpoint.id())
                                                 && version.test(endpoint.version())));
         accepting.sort(Comparator.comparing(EndpointRow::id));
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bramleylatch.core.AnswerEvidence;
+import org.bramleylatch.core.AnswerVerdict;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
 import org.bramleylatch.core.RouterInput;
@@ -132,8 +133,12 @@
                     new RouterInput.RateLimitObserved(endpoint, head.requestsPerSecondLimit()));
         }
         AnswerEvidence evidence = head.evidence(connectionUses);
+        AnswerVerdict verdict = evidence.judge(exchange.head().id());
+        if (verdict != AnswerVerdict.UNATTRIBUTED && !head.isMisdirected()) {
+            reportSignals(head);
+        }
         Runnable handler =
-                switch (evidence.judge(exchange.head().id())) {
+                switch (verdict) {
                     case ANSWER -> () -> readAnswer(answer, head, evidence.keepsConnection());
                     case REFUSAL -> () -> handleRefusal(head, evidence);
                     case UNATTRIBUTED ->
@@ -144,6 +149,15 @@
         handler.run();
     }
 
+    private void reportSignals(EndpointAnswerHead head) {
+        if (head.isLeaving()) {
+            inbox.accept(new RouterInput.EndpointLeaving(endpoint));
+        }
+        head.pauseMillis()
+                .ifPresent(
+                        millis -> inbox.accept(new RouterInput.EndpointPaused(endpoint, millis)));
+    }
+
     private void readAnswer(
             HttpClientResponse answer, EndpointAnswerHead head, boolean keepsConnection) {
         if (!keepsConnection) {
