Refuse calls that waited too long for a busy VM, and send nothing on late

On a busy VM a request waits in the socket; it was read after its caller had left, or its connection to the endpoint was ready only then, and it was still sent on. Change: LoopLag estimates from a late timer how long what is read now may have waited, and a call's time counts from there. LateArrival refuses at once a call whose caller has left (504) or that can't be answered in time at this pace (VM_OVERLOADED, 503, not run), and closes the connection, so that the retry reaches another VM. A request is written once all that arrived with its connection is read, and not at all if its caller has left or its time is over; its Deadline-Ms is of that moment.

--- a/core/src/main/java/org/bramleylatch/core/CallResolver.java
+++ b/core/src/main/java/org/bramleylatch/core/CallResolver.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /** Resolves a call's route and budget from the configuration, and admits the request. */
-record CallResolver(RouterWorld world, Admission admission) {
+record CallResolver(RouterWorld world, Admission admission, long nowMillis) {
 
     /** Admits the call's request; returns false if it is refused. */
     boolean resolve(RouterInput.CallArrived arrived) {
@@ -22,6 +22,12 @@
                 && configuration.hasMembers()) {
             return refuse(call, ResultCode.UNAUTHENTICATED);
         }
+        Optional<ResultCode> lateness =
+                LateArrival.findRefusal(
+                        call, route.get().options(), nowMillis - call.arrivedMillis());
+        if (lateness.isPresent()) {
+            return refuse(call, lateness.get());
+        }
         return admission.admit(new RouterInput.RequestArrived(spec(call, route.get(), member)));
     }
 
@@ -44,7 +50,9 @@
     }
 
     private boolean refuse(Call call, ResultCode code) {
-        String detail = "host=" + call.host() + " path=" + call.path();
+        long waitedMillis = nowMillis - call.arrivedMillis();
+        String detail =
+                "host=" + call.host() + " path=" + call.path() + " waitedMillis=" + waitedMillis;
         long revision = world.configuration().revision();
         world.send(new RouterOutput.Refuse(call.id(), code, RunState.NOT_RUN, detail));
         world.note(
--- a/core/src/main/java/org/bramleylatch/core/RetryAdvice.java
+++ b/core/src/main/java/org/bramleylatch/core/RetryAdvice.java
@@ -16,10 +16,16 @@
     private static final Map<ResultCode, Long> RETRY_AFTER_MILLIS =
             Map.of(
                     ResultCode.SHUTTING_DOWN, RECONNECT_MILLIS,
+                    ResultCode.VM_OVERLOADED, RECONNECT_MILLIS,
                     ResultCode.BUDGET_UNAVAILABLE, TOKENS_FREED_MILLIS);
 
     private RetryAdvice() {}
 
+    /** Returns true if the connection is to be closed, so that the caller reaches another VM. */
+    public static boolean isForAnotherVm(ResultCode code) {
+        return code == ResultCode.VM_OVERLOADED || code == ResultCode.SHUTTING_DOWN;
+    }
+
     /** Returns the milliseconds after which a request refused with the code may be served. */
     public static long retryAfterMillis(ResultCode code) {
         return RETRY_AFTER_MILLIS.getOrDefault(code, CAPACITY_FREED_MILLIS);
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -89,7 +89,7 @@
     private void addRequestHandlers(
             Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
         Admission admission = new Admission(world, limits, nowMillis);
-        handlers.on(CallArrived.class, new CallResolver(world, admission)::resolve)
+        handlers.on(CallArrived.class, new CallResolver(world, admission, nowMillis)::resolve)
                 .on(RequestArrived.class, admission::admit)
                 .on(ReserveGranted.class, admission::acceptGrant)
                 .on(ReserveRefused.class, admission::handleReserveRefusal)
--- /dev/null
+++ b/core/src/test/java/org/bramleylatch/core/LateArrivalTest.java
@@ -0,0 +1,101 @@
+package org.bramleylatch.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Answers the pattern "most of a zone's callers are on one weak VM": what it reads has waited, and
+ * work that is begun too late is lost for the caller and for the endpoint.
+ */
+class LateArrivalTest {
+    private static final long TIMEOUT_MILLIS = 1_500;
+    private static final long PATIENCE_MILLIS = 2_000;
+    private static final RouteOptions OPTIONS =
+            new RouteOptions(
+                    Optional.of("host"),
+                    true,
+                    false,
+                    true,
+                    true,
+                    false,
+                    2,
+                    0,
+                    0,
+                    400,
+                    List.of(),
+                    Optional.of(PATIENCE_MILLIS));
+    private static final RouteRow ROUTE =
+            new RouteRow(
+                    RouteName.of("chat"),
+                    RouteKind.CHAT,
+                    "/chat/",
+                    "seilhelfer",
+                    true,
+                    0,
+                    List.of(),
+                    Optional.of(OPTIONS));
+
+    @Test
+    void aCallWhoseCallerHasLeftIsNotServed() {
+        assertThat(refusal(TIMEOUT_MILLIS, 1_500)).contains(ResultCode.DEADLINE_EXCEEDED);
+        assertThat(refusal(15_000, PATIENCE_MILLIS)).contains(ResultCode.DEADLINE_EXCEEDED);
+    }
+
+    @Test
+    void aCallThatCannotBeAnsweredInTimeIsRefusedAtOnceForAnotherVm() {
+        assertThat(refusal(TIMEOUT_MILLIS, 400)).contains(ResultCode.VM_OVERLOADED);
+        assertThat(refusal(15_000, 600)).contains(ResultCode.VM_OVERLOADED);
+        assertThat(RetryAdvice.isForAnotherVm(ResultCode.VM_OVERLOADED)).isTrue();
+        assertThat(RetryAdvice.retryAfterMillis(ResultCode.VM_OVERLOADED))
+                .isLessThan(RetryAdvice.retryAfterMillis(ResultCode.OVERLOADED));
+    }
+
+    @Test
+    void aCallThatWaitedLittleIsServed() {
+        assertThat(refusal(TIMEOUT_MILLIS, 0)).isEmpty();
+        assertThat(refusal(TIMEOUT_MILLIS, 300)).isEmpty();
+        assertThat(refusal(200, 90)).as("within the noise of a sound process").isEmpty();
+    }
+
+    /** Guards against requests that are sent on after their callers have left. */
+    @Test
+    void aRouterSendsNothingOnForACallThatWaitedTooLong() {
+        RouterHarness router = new RouterHarness();
+        router.receive(
+                new RouterInput.ConfigurationReceived(
+                        new Configuration(1, List.of(), List.of(ROUTE))));
+        long nowMillis = router.nowMillis();
+        router.receive(new RouterInput.CallArrived(call(TIMEOUT_MILLIS, nowMillis - 1_600)));
+        router.receive(new RouterInput.CallArrived(call(TIMEOUT_MILLIS, nowMillis - 700)));
+        assertThat(router.outputs(RouterOutput.Refuse.class))
+                .extracting(RouterOutput.Refuse::code)
+                .containsExactly(ResultCode.DEADLINE_EXCEEDED, ResultCode.VM_OVERLOADED);
+        assertThat(router.outputs(RouterOutput.Refuse.class))
+                .extracting(RouterOutput.Refuse::runState)
+                .containsOnly(RunState.NOT_RUN);
+        assertThat(router.outputs(RouterOutput.ToKeeper.class)).isEmpty();
+    }
+
+    private static Optional<ResultCode> refusal(long timeoutMillis, long waitedMillis) {
+        return LateArrival.findRefusal(call(timeoutMillis, 0), OPTIONS, waitedMillis);
+    }
+
+    private static Call call(long timeoutMillis, long arrivedMillis) {
+        return new Call(
+                RequestId.of("request-" + arrivedMillis),
+                RequestKey.of(arrivedMillis, 1),
+                "host",
+                "/chat/1",
+                Optional.empty(),
+                100,
+                50,
+                0,
+                0,
+                List.of(),
+                arrivedMillis,
+                timeoutMillis);
+    }
+}
--- a/core/src/test/java/org/bramleylatch/core/RouterHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterHarness.java
@@ -137,6 +137,10 @@
         receive(new RouterInput.TokensArrived(attempt, position, 1, "word "));
     }
 
+    long nowMillis() {
+        return nowMillis;
+    }
+
     void receive(RouterInput input) {
         world.inbox().add(input);
         tick();
--- /dev/null
+++ b/edge/src/main/java/org/bramleylatch/edge/LoopLag.java
@@ -0,0 +1,43 @@
+package org.bramleylatch.edge;
+
+import io.vertx.core.Vertx;
+import java.time.InstantSource;
+
+/**
+ * Estimates how far an event loop is behind, by a timer that fires late on a loop that is busy, or
+ * in a process that was stopped. What such a loop reads may have waited for as long.
+ */
+public final class LoopLag {
+    private static final long PERIOD_MILLIS = 100;
+
+    private final InstantSource clock;
+    private long lastMillis;
+    private long lastDelayMillis;
+
+    /** Creates an estimate of no lag. */
+    public LoopLag(InstantSource clock) {
+        this.clock = clock;
+        this.lastMillis = clock.millis();
+    }
+
+    /** Measures the event loop that calls this, from now on. */
+    public void start(Vertx vertx) {
+        lastMillis = clock.millis();
+        vertx.setPeriodic(PERIOD_MILLIS, ignored -> tick());
+    }
+
+    /** Returns by how many milliseconds the loop is late now, or was at the last two ticks. */
+    public long millis() {
+        return Math.max(lastDelayMillis, delayMillis(clock.millis()));
+    }
+
+    void tick() {
+        long nowMillis = clock.millis();
+        lastDelayMillis = delayMillis(nowMillis);
+        lastMillis = nowMillis;
+    }
+
+    private long delayMillis(long nowMillis) {
+        return Math.max(0, nowMillis - lastMillis - PERIOD_MILLIS);
+    }
+}
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.bramleylatch.core.Call;
 import org.bramleylatch.core.Event;
@@ -26,6 +27,7 @@
 import org.bramleylatch.core.RequestKey;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
+import org.bramleylatch.core.RetryAdvice;
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RunState;
@@ -43,6 +45,7 @@
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
 
     private final InstantSource clock;
+    private final LongSupplier lag;
     private final Consumer<RouterInput> inbox;
     private final RequestMetrics metrics;
     private final Consumer<Event> events;
@@ -60,6 +63,7 @@
     /**
      * Creates the server; requests arrive through {@link #handleRequest}.
      *
+     * @param lag supplies how many milliseconds requests may have waited before they are read
      * @param events receives an event when an answer begins and when nothing more is written
      * @param onBrokenRequest runs for each request whose connection failed before the request was
      *     read completely
@@ -68,6 +72,7 @@
      */
     CallerServer(
             InstantSource clock,
+            LongSupplier lag,
             Consumer<RouterInput> inbox,
             RequestMetrics metrics,
             Consumer<Event> events,
@@ -75,6 +80,7 @@
             IntSupplier maxBodyBytes,
             BooleanSupplier draining) {
         this.clock = clock;
+        this.lag = lag;
         this.inbox = inbox;
         this.metrics = metrics;
         this.events = events;
@@ -92,7 +98,7 @@
         if (closingConnections.contains(request.connection())) {
             return;
         }
-        long arrivedMillis = clock.millis();
+        long arrivedMillis = clock.millis() - lag.getAsLong();
         int maxBytes = maxBodyBytes.getAsInt();
         Buffer body = Buffer.buffer();
         request.handler(
@@ -323,7 +329,8 @@
         if (findExchange(id).filter(CallerExchange::isStarted).isPresent()) {
             closeExchange(id).ifPresent(begun -> breakOff(id, begun, refuse.code().name()));
         } else {
-            finish(id, exchange -> exchange.refuse(refuse, isDraining()));
+            boolean close = isDraining() || RetryAdvice.isForAnotherVm(refuse.code());
+            finish(id, exchange -> exchange.refuse(refuse, close));
         }
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.NetClient;
@@ -57,6 +58,7 @@
 
     private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
 
+    private final Vertx vertx;
     private final InstantSource clock;
     private final Function<EndpointId, Optional<EndpointEntry>> registry;
     private final Function<RequestId, Optional<CallerExchange>> exchanges;
@@ -87,6 +89,7 @@
             Function<RequestId, Optional<RequestSpec>> specs,
             ToIntFunction<String> tokensPerEvent,
             Consumer<RouterInput> inbox) {
+        this.vertx = vertx;
         this.clock = clock;
         this.registry = registry;
         this.exchanges = exchanges;
@@ -128,8 +131,8 @@
         calls.put(start.attempt(), call);
         try {
             clientFor(spec.get())
-                    .request(requestOptions(exchange.get(), spec.get(), entry.get()))
-                    .onSuccess(request -> call.send(request, uses.count(request.connection())))
+                    .request(requestOptions(exchange.get(), entry.get()))
+                    .onSuccess(request -> sendLater(start, call, request, spec.get(), entry.get()))
                     .onFailure(call::connectionFailed);
         } catch (RuntimeException refused) {
             calls.remove(start.attempt());
@@ -139,6 +142,29 @@
         }
     }
 
+    /**
+     * Sends the request once all that arrived with the new connection is read, unless the caller
+     * has left or its time is over by then. The router ends such a request itself.
+     */
+    private void sendLater(
+            RouterOutput.StartAttempt start,
+            EndpointCall call,
+            HttpClientRequest request,
+            RequestSpec spec,
+            EndpointEntry entry) {
+        vertx.runOnContext(
+                ignored -> {
+                    Optional<CallerExchange> exchange = exchanges.apply(start.request());
+                    if (exchange.isEmpty() || clock.millis() >= spec.deadlineMillis()) {
+                        request.reset();
+                    } else {
+                        head(exchange.get(), spec, entry)
+                                .write(exchange.get().request().headers(), request.headers());
+                        call.send(request, uses.count(request.connection()));
+                    }
+                });
+    }
+
     private void reportNotStarted(AttemptId attempt, String detail) {
         inbox.accept(
                 new RouterInput.AttemptFailed(
@@ -241,25 +267,24 @@
         inbox.accept(message);
     }
 
-    private RequestOptions requestOptions(
+    private static RequestOptions requestOptions(CallerExchange exchange, EndpointEntry entry) {
+        return new RequestOptions()
+                .setHost(entry.address().ip())
+                .setPort(entry.address().port())
+                .setMethod(exchange.request().method())
+                .setURI(exchange.request().uri());
+    }
+
+    private EndpointRequestHead head(
             CallerExchange exchange, RequestSpec spec, EndpointEntry entry) {
-        RequestOptions options =
-                new RequestOptions()
-                        .setHost(entry.address().ip())
-                        .setPort(entry.address().port())
-                        .setMethod(exchange.request().method())
-                        .setURI(exchange.request().uri());
-        EndpointRequestHead head =
-                new EndpointRequestHead(
-                        entry.instance(),
-                        spec.deadlineMillis() - clock.millis(),
-                        Optional.of(spec.budget().value()).filter(name -> !name.isEmpty()),
-                        spec.traits().priority(),
-                        exchange.lastEventId().isPresent()
-                                ? Optional.of(Long.toString(exchange.lastEventId().getAsLong()))
-                                : Optional.empty());
-        head.write(exchange.request().headers(), options);
-        return options;
+        return new EndpointRequestHead(
+                entry.instance(),
+                spec.deadlineMillis() - clock.millis(),
+                Optional.of(spec.budget().value()).filter(name -> !name.isEmpty()),
+                spec.traits().priority(),
+                exchange.lastEventId().isPresent()
+                        ? Optional.of(Long.toString(exchange.lastEventId().getAsLong()))
+                        : Optional.empty());
     }
 
     private static HttpClientOptions clientOptions() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -40,6 +40,7 @@
 import org.bramleylatch.edge.KeeperConnections;
 import org.bramleylatch.edge.KeeperMessageTranslation;
 import org.bramleylatch.edge.LedgerStream;
+import org.bramleylatch.edge.LoopLag;
 import org.bramleylatch.edge.MonitoringHandlers;
 import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.edge.RandomIds;
@@ -65,6 +66,7 @@
     private final BootFile boot;
     private final GatewaySettings settings;
     private final EventLog eventLog;
+    private final LoopLag loopLag;
     private final RequestMetrics metrics;
     private final PrometheusRegistry metricsRegistry = new PrometheusRegistry();
     private final Incarnation keeper;
@@ -95,6 +97,7 @@
         this.clock = clock;
         this.boot = boot;
         this.settings = settings;
+        this.loopLag = new LoopLag(clock);
         this.eventLog = new EventLog(clock, boot.vm(), settings.logLinesPerSecond());
         this.metrics = new RequestMetrics(metricsRegistry, "gateway");
         this.keeper = RandomIds.newIncarnation("keeper", boot.vm());
@@ -169,6 +172,7 @@
                         .register(metricsRegistry);
         return new CallerServer(
                 clock,
+                loopLag::millis,
                 routerLoop::offer,
                 metrics,
                 this::recordEvent,
@@ -268,6 +272,7 @@
 
     private void startOnContext(CompletableFuture<GatewayDaemon> started) {
         Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
+        loopLag.start(vertx);
         recordEvent(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
         routerLoop.offer(new RouterInput.LocalKeeperUp(keeper));
         keeperLoop.offer(new KeeperInput.ProcessStarted(clock.bootMillis(), clock.startMillis()));
--- a/gateway/src/test/java/org/bramleylatch/gateway/AnsweringServer.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/AnsweringServer.java
@@ -56,6 +56,7 @@
         server[0] =
                 new CallerServer(
                         MonotonicClock.system(),
+                        () -> 0,
                         input -> {
                             inputs.add(input);
                             if (input instanceof CallArrived arrived) {
--- a/gateway/src/test/java/org/bramleylatch/gateway/BodyLimitChangeTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/BodyLimitChangeTest.java
@@ -35,6 +35,7 @@
     private final CallerServer callers =
             new CallerServer(
                     InstantSource.system(),
+                    () -> 0,
                     inbox::add,
                     new RequestMetrics(new PrometheusRegistry(), "test"),
                     event -> {},
--- a/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
@@ -48,6 +48,7 @@
     private final CallerServer callers =
             new CallerServer(
                     InstantSource.system(),
+                    () -> 0,
                     inbox::add,
                     new RequestMetrics(new PrometheusRegistry(), "test"),
                     event -> {},
--- a/gateway/src/test/java/org/bramleylatch/gateway/PipelinedRequestTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/PipelinedRequestTest.java
@@ -76,6 +76,7 @@
         CallerServer callers =
                 new CallerServer(
                         InstantSource.system(),
+                        () -> 0,
                         inbox::add,
                         new RequestMetrics(new PrometheusRegistry(), "test"),
                         event -> {},
