Build the tables of message handlers once, not at each tick

Cause: each tick of a router built some 40 handlers before it handled one message, and each tick of a keeper 17; a token passed on is a tick. Change: TickDispatch is built once; RouterTick makes the parts that a handler needs. A keeper that bills sums answers a usage with one message instead of two.

--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -35,11 +35,40 @@
 
     private static final int MAX_MESSAGES_PER_TICK = 2_000;
 
+    private static final TickDispatch<Handlers, LogUpdate> LOG_UPDATE_HANDLERS =
+            TickDispatch.<Handlers, LogUpdate>empty()
+                    .on(EntriesRead.class, Handlers::applyEntries)
+                    .on(SnapshotLoaded.class, Handlers::loadSnapshot)
+                    .on(BatchAppended.class, Handlers::acknowledgeAppend)
+                    .on(CaughtUp.class, (tick, caughtUp) -> tick.markCaughtUp())
+                    .on(ReachabilityReported.class, Handlers::updateLogReachability);
+
+    private static final TickDispatch<Handlers, KeeperInput> HANDLERS =
+            TickDispatch.<Handlers, KeeperInput>empty()
+                    .on(ReserveAsked.class, Handlers::reserve)
+                    .on(AttemptNoted.class, Handlers::noteAttempt)
+                    .on(UsageSubmitted.class, Handlers::recordUsage)
+                    .on(ReservationReleased.class, Handlers::releaseReservation)
+                    .on(IntentAsked.class, Handlers::claimIntent)
+                    .on(IntentEnded.class, Handlers::finishIntent)
+                    .on(MoveReported.class, Handlers::appendMoveReport)
+                    .on(KeeperInput.RouterReported.class, Handlers::relayReport)
+                    .on(KeeperInput.MoveOrdered.class, Handlers::appendOrder)
+                    .on(RouterConnected.class, Handlers::addRouter)
+                    .on(RouterDisconnected.class, Handlers::removeRouter)
+                    .on(AttemptUsageReported.class, Handlers::settleOrphan)
+                    .on(FundsConfigured.class, Handlers::recordFunds)
+                    .on(HolderSelected.class, Handlers::applySelection)
+                    .on(ProcessStarted.class, Handlers::recordProcessStart)
+                    .on(FromLog.class, Handlers::applyLogUpdate)
+                    .on(StopAsked.class, (tick, message) -> tick.beginStop());
+
     @Override
     public void run(KeeperWorld world, long nowMillis) {
-        Handlers handlers = new Handlers(world, limits, nowMillis);
-        Dispatch<KeeperInput, Boolean> messageHandlers = handlers.messageHandlers();
-        world.inbox().take(MAX_MESSAGES_PER_TICK).forEach(failures.guard(messageHandlers::apply));
+        Handlers tick = new Handlers(world, limits, nowMillis);
+        world.inbox()
+                .take(MAX_MESSAGES_PER_TICK)
+                .forEach(failures.guard(message -> HANDLERS.apply(tick, message)));
     }
 
     /**
@@ -48,34 +77,9 @@
      */
     private record Handlers(KeeperWorld world, KeeperLimits limits, long nowMillis) {
 
-        Dispatch<KeeperInput, Boolean> messageHandlers() {
-            return Dispatch.<KeeperInput, Boolean>empty()
-                    .on(ReserveAsked.class, this::reserve)
-                    .on(AttemptNoted.class, this::noteAttempt)
-                    .on(UsageSubmitted.class, this::recordUsage)
-                    .on(ReservationReleased.class, this::releaseReservation)
-                    .on(IntentAsked.class, this::claimIntent)
-                    .on(IntentEnded.class, this::finishIntent)
-                    .on(MoveReported.class, this::appendMoveReport)
-                    .on(KeeperInput.RouterReported.class, this::relayReport)
-                    .on(KeeperInput.MoveOrdered.class, this::appendOrder)
-                    .on(RouterConnected.class, this::addRouter)
-                    .on(RouterDisconnected.class, this::removeRouter)
-                    .on(AttemptUsageReported.class, this::settleOrphan)
-                    .on(FundsConfigured.class, this::recordFunds)
-                    .on(HolderSelected.class, this::applySelection)
-                    .on(ProcessStarted.class, this::recordProcessStart)
-                    .on(FromLog.class, input -> logUpdateHandlers().apply(input.update()))
-                    .on(StopAsked.class, message -> beginStop());
-        }
-
-        private Dispatch<LogUpdate, Boolean> logUpdateHandlers() {
-            return Dispatch.<LogUpdate, Boolean>empty()
-                    .on(EntriesRead.class, this::applyEntries)
-                    .on(SnapshotLoaded.class, this::loadSnapshot)
-                    .on(BatchAppended.class, this::acknowledgeAppend)
-                    .on(CaughtUp.class, caughtUp -> markCaughtUp())
-                    .on(ReachabilityReported.class, this::updateLogReachability);
+        private boolean applyLogUpdate(FromLog input) {
+            LOG_UPDATE_HANDLERS.apply(this, input.update());
+            return true;
         }
 
         private boolean reserve(ReserveAsked ask) {
@@ -223,11 +227,11 @@
         }
 
         private boolean recordUsage(UsageSubmitted submitted) {
-            RequestKey key = submitted.usage().key();
-            world.outbox().add(new KeeperOutput.UsageHeld(submitted.router(), key));
             if (limits.usageSummed()) {
                 return billSummedUsage(submitted);
             }
+            RequestKey key = submitted.usage().key();
+            world.outbox().add(new KeeperOutput.UsageHeld(submitted.router(), key));
             if (world.pendingUsages().has(key)) {
                 return false;
             }
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
@@ -18,6 +18,10 @@
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
+        List<KeeperTimer> allDue = world.timers().takeDue(nowMillis);
+        if (allDue.isEmpty()) {
+            return;
+        }
         Dispatch<KeeperTimer, Boolean> handlers =
                 Dispatch.<KeeperTimer, Boolean>empty()
                         .on(ReserveTimeout.class, due -> refuseReservation(world, due.key()))
@@ -28,7 +32,7 @@
                         .on(AppendDue.class, due -> true)
                         .on(ClockTimeout.class, due -> true)
                         .on(GrantReview.class, due -> reviewGrants(world, due, nowMillis));
-        world.timers().takeDue(nowMillis).forEach(failures.guard(handlers::apply));
+        allDue.forEach(failures.guard(handlers::apply));
     }
 
     private boolean refuseReservation(KeeperWorld world, RequestKey key) {
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -44,19 +44,29 @@
     /** Messages beyond this number stay in the inbox until the next tick. */
     private static final int MAX_MESSAGES_PER_TICK = 4_000;
 
+    private static final TickDispatch<RouterTick, RouterInput> HANDLERS = TickDispatch.empty();
+
+    private static final TickDispatch<RouterTick, RouterReport> REPORT_HANDLERS =
+            TickDispatch.<RouterTick, RouterReport>empty()
+                    .on(CrashEvidence.class, (tick, r) -> tick.crashes().applyEvidence(r))
+                    .on(LimitReport.class, (tick, r) -> tick.rateLimits().applyReport(r));
+
+    static {
+        addRequestHandlers();
+        addAnswerHandlers();
+        addEndpointHandlers();
+        addFleetHandlers();
+    }
+
     @Override
     public void run(RouterWorld world, long nowMillis) {
         if (world.inbox().isEmpty()) {
             return;
         }
-        Dispatch<RouterInput, Boolean> handlers = Dispatch.empty();
-        addRequestHandlers(handlers, world, nowMillis);
-        addAnswerHandlers(handlers, world, nowMillis);
-        addEndpointHandlers(handlers, world, nowMillis);
-        addFleetHandlers(handlers, world, nowMillis);
+        RouterTick tick = new RouterTick(world, limits, nowMillis);
         world.inbox()
                 .take(MAX_MESSAGES_PER_TICK)
-                .forEach(refusingArrivals(world).guard(handlers::apply));
+                .forEach(refusingArrivals(world).guard(message -> HANDLERS.apply(tick, message)));
     }
 
     /** Returns a handler that refuses an arrival that failed, as its caller has no other owner. */
@@ -86,74 +96,61 @@
                                                 detail)));
     }
 
-    private void addRequestHandlers(
-            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
-        Admission admission = new Admission(world, limits, nowMillis);
-        handlers.on(CallArrived.class, new CallResolver(world, admission, nowMillis)::resolve)
-                .on(RequestArrived.class, admission::admit)
-                .on(ReserveGranted.class, admission::acceptGrant)
-                .on(ReserveRefused.class, admission::handleReserveRefusal)
-                .on(IntentWon.class, admission::queueClaimed)
-                .on(IntentLost.class, admission::answerLostClaim)
-                .on(IntentRefused.class, admission::refuseUnclaimed);
+    private static void addRequestHandlers() {
+        HANDLERS.on(CallArrived.class, (tick, m) -> tick.calls().resolve(m))
+                .on(RequestArrived.class, (tick, m) -> tick.admission().admit(m))
+                .on(ReserveGranted.class, (tick, m) -> tick.admission().acceptGrant(m))
+                .on(ReserveRefused.class, (tick, m) -> tick.admission().handleReserveRefusal(m))
+                .on(IntentWon.class, (tick, m) -> tick.admission().queueClaimed(m))
+                .on(IntentLost.class, (tick, m) -> tick.admission().answerLostClaim(m))
+                .on(IntentRefused.class, (tick, m) -> tick.admission().refuseUnclaimed(m));
     }
 
-    private void addAnswerHandlers(
-            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
-        AnswerRelay answers = new AnswerRelay(world, limits, nowMillis);
-        handlers.on(TokensArrived.class, answers::deliverTokens)
-                .on(AnswerEnded.class, answers::endAnswer)
-                .on(ServiceAnswered.class, answers::deliverServiceAnswer)
-                .on(AttemptFailed.class, answers::failAttempt)
-                .on(CallerPaused.class, answers::pauseOrResume)
-                .on(CallerDisconnected.class, answers::abandon)
-                .on(
-                        OutputFailed.class,
-                        new FailedOutputs(world, answers, new Admission(world, limits, nowMillis))
-                                ::handle)
-                .on(UsageHeld.class, usage -> Settlements.finishAnswer(world, usage.key()))
-                .on(UsageDurable.class, usage -> Settlements.close(world, usage.key()));
+    private static void addAnswerHandlers() {
+        HANDLERS.on(TokensArrived.class, (tick, m) -> tick.answers().deliverTokens(m))
+                .on(AnswerEnded.class, (tick, m) -> tick.answers().endAnswer(m))
+                .on(ServiceAnswered.class, (tick, m) -> tick.answers().deliverServiceAnswer(m))
+                .on(AttemptFailed.class, (tick, m) -> tick.answers().failAttempt(m))
+                .on(CallerPaused.class, (tick, m) -> tick.answers().pauseOrResume(m))
+                .on(CallerDisconnected.class, (tick, m) -> tick.answers().abandon(m))
+                .on(OutputFailed.class, (tick, m) -> tick.failedOutputs().handle(m))
+                .on(UsageHeld.class, (tick, m) -> Settlements.finishAnswer(tick.world(), m.key()))
+                .on(UsageDurable.class, (tick, m) -> Settlements.close(tick.world(), m.key()));
     }
 
-    private void addEndpointHandlers(
-            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
-        RegistryUpdates registry = new RegistryUpdates(world, limits, nowMillis);
-        EndpointSignals signals = new EndpointSignals(world, nowMillis);
-        handlers.on(EndpointAnnounced.class, registry::applyAnnouncement)
-                .on(EndpointWithdrawn.class, registry::applyWithdrawal)
-                .on(EndpointReplaced.class, replaced -> registry.remove(replaced.endpoint()))
-                .on(RegistryReachabilityReported.class, registry::applyReachability)
+    private static void addEndpointHandlers() {
+        HANDLERS.on(EndpointAnnounced.class, (tick, m) -> tick.registry().applyAnnouncement(m))
+                .on(EndpointWithdrawn.class, (tick, m) -> tick.registry().applyWithdrawal(m))
+                .on(EndpointReplaced.class, (tick, m) -> tick.registry().remove(m.endpoint()))
                 .on(
-                        EndpointProbed.class,
-                        new SilenceDetection(world, limits, nowMillis)::applyProbe)
-                .on(EndpointLeaving.class, signals::applyLeaving)
-                .on(EndpointPaused.class, signals::applyPause)
-                .on(RateLimitObserved.class, new RateLimits(world, nowMillis)::applyObservation);
+                        RegistryReachabilityReported.class,
+                        (tick, m) -> tick.registry().applyReachability(m))
+                .on(EndpointProbed.class, (tick, m) -> tick.silences().applyProbe(m))
+                .on(EndpointLeaving.class, (tick, m) -> tick.signals().applyLeaving(m))
+                .on(EndpointPaused.class, (tick, m) -> tick.signals().applyPause(m))
+                .on(RateLimitObserved.class, (tick, m) -> tick.rateLimits().applyObservation(m));
     }
 
-    private void addFleetHandlers(
-            Dispatch<RouterInput, Boolean> handlers, RouterWorld world, long nowMillis) {
-        FleetUpdates fleet = new FleetUpdates(world, limits, nowMillis);
-        Dispatch<RouterReport, Boolean> reportHandlers =
-                Dispatch.<RouterReport, Boolean>empty()
-                        .on(
-                                CrashEvidence.class,
-                                new CrashDetection(world, nowMillis)::applyEvidence)
-                        .on(LimitReport.class, new RateLimits(world, nowMillis)::applyReport);
-        handlers.on(ConfigurationReceived.class, fleet::applyConfiguration)
-                .on(EndpointsListed.class, fleet::applyListing)
-                .on(EndpointReported.class, fleet::applyReport)
-                .on(KeeperUp.class, fleet::addKeeper)
-                .on(LocalKeeperUp.class, fleet::setLocalKeeper)
-                .on(RoutersCounted.class, fleet::raiseRouterCount)
-                .on(VmsAnnounced.class, fleet::applyVms)
-                .on(KeeperDown.class, fleet::removeKeeper)
-                .on(MoveChanged.class, fleet::applyMove)
-                .on(ReportReceived.class, received -> reportHandlers.apply(received.report()))
+    private static void addFleetHandlers() {
+        HANDLERS.on(ConfigurationReceived.class, (tick, m) -> tick.fleet().applyConfiguration(m))
+                .on(EndpointsListed.class, (tick, m) -> tick.fleet().applyListing(m))
+                .on(EndpointReported.class, (tick, m) -> tick.fleet().applyReport(m))
+                .on(KeeperUp.class, (tick, m) -> tick.fleet().addKeeper(m))
+                .on(LocalKeeperUp.class, (tick, m) -> tick.fleet().setLocalKeeper(m))
+                .on(RoutersCounted.class, (tick, m) -> tick.fleet().raiseRouterCount(m))
+                .on(VmsAnnounced.class, (tick, m) -> tick.fleet().applyVms(m))
+                .on(KeeperDown.class, (tick, m) -> tick.fleet().removeKeeper(m))
+                .on(MoveChanged.class, (tick, m) -> tick.fleet().applyMove(m))
+                .on(ReportReceived.class, RouterInboxSystem::applyReport)
                 .on(
                         RolloutOrdered.class,
-                        ordered -> RolloutSystem.apply(world, ordered.order(), nowMillis))
-                .on(StopAsked.class, message -> fleet.beginStop())
-                .on(StopTimeReached.class, message -> fleet.endOpenRequests());
+                        (tick, m) -> RolloutSystem.apply(tick.world(), m.order(), tick.nowMillis()))
+                .on(StopAsked.class, (tick, m) -> tick.fleet().beginStop())
+                .on(StopTimeReached.class, (tick, m) -> tick.fleet().endOpenRequests());
+    }
+
+    private static boolean applyReport(RouterTick tick, ReportReceived received) {
+        REPORT_HANDLERS.apply(tick, received.report());
+        return true;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -17,33 +17,33 @@
     /** Longer than most freezes of a process, and shorter than a grant lasts. */
     private static final long KEEPER_RETRIAL_MILLIS = 2_000;
 
+    private static final TickDispatch<RouterTick, RouterTimer> HANDLERS =
+            TickDispatch.<RouterTick, RouterTimer>empty()
+                    .on(RequestDeadline.class, (tick, due) -> expire(tick.world(), due.request()))
+                    .on(ReserveTimeout.class, RouterTimerSystem::expireReserve)
+                    .on(RouterTimer.KeeperRetrial.class, RouterTimerSystem::endSilence)
+                    .on(AttemptSilenceCheck.class, RouterTimerSystem::checkSilence)
+                    .on(
+                            QueueTimeout.class,
+                            (tick, due) -> expireQueued(tick.world(), due.request()))
+                    .on(WithdrawalDue.class, (tick, due) -> tick.registry().remove(due.endpoint()))
+                    .on(MoveReport.class, (tick, due) -> true)
+                    .on(RouterTimer.OwnershipCheck.class, (tick, due) -> true)
+                    .on(RouterTimer.EvidenceExpiry.class, (tick, due) -> true)
+                    .on(RouterTimer.PermitCheck.class, (tick, due) -> true)
+                    .on(RouterTimer.RolloutCheck.class, (tick, due) -> true)
+                    .on(
+                            UsageHoldTimeout.class,
+                            (tick, due) -> Settlements.finishAnswer(tick.world(), due.key()));
+
     @Override
     public void run(RouterWorld world, long nowMillis) {
-        Dispatch<RouterTimer, Boolean> handlers =
-                Dispatch.<RouterTimer, Boolean>empty()
-                        .on(RequestDeadline.class, due -> expire(world, due.request()))
-                        .on(
-                                ReserveTimeout.class,
-                                due -> expireReserve(world, due.request(), nowMillis))
-                        .on(AttemptSilenceCheck.class, due -> checkSilence(world, due, nowMillis))
-                        .on(
-                                RouterTimer.KeeperRetrial.class,
-                                due -> world.silentKeepers().remove(due.keeper()))
-                        .on(QueueTimeout.class, due -> expireQueued(world, due.request()))
-                        .on(
-                                WithdrawalDue.class,
-                                due ->
-                                        new RegistryUpdates(world, limits, nowMillis)
-                                                .remove(due.endpoint()))
-                        .on(MoveReport.class, due -> true)
-                        .on(RouterTimer.OwnershipCheck.class, due -> true)
-                        .on(RouterTimer.EvidenceExpiry.class, due -> true)
-                        .on(RouterTimer.PermitCheck.class, due -> true)
-                        .on(RouterTimer.RolloutCheck.class, due -> true)
-                        .on(
-                                UsageHoldTimeout.class,
-                                due -> Settlements.finishAnswer(world, due.key()));
-        world.timers().takeDue(nowMillis).forEach(failures.guard(handlers::apply));
+        RouterTick tick = new RouterTick(world, limits, nowMillis);
+        world.timers().takeDue(nowMillis).forEach(failures.guard(due -> HANDLERS.apply(tick, due)));
+    }
+
+    private static boolean endSilence(RouterTick tick, RouterTimer.KeeperRetrial due) {
+        return tick.world().silentKeepers().remove(due.keeper());
     }
 
     private static boolean expire(RouterWorld world, RequestId id) {
@@ -75,11 +75,15 @@
         return row.isPresent();
     }
 
-    private boolean expireReserve(RouterWorld world, RequestId id, long nowMillis) {
+    private static boolean expireReserve(RouterTick tick, ReserveTimeout due) {
         Optional<RequestRow> row =
-                world.requests().find(id).filter(found -> found.stage() == Stage.RESERVING);
-        row.flatMap(RequestRow::keeper).ifPresent(keeper -> markSilent(world, keeper, nowMillis));
-        row.ifPresent(found -> askAnotherKeeper(world, found, nowMillis));
+                tick.world()
+                        .requests()
+                        .find(due.request())
+                        .filter(found -> found.stage() == Stage.RESERVING);
+        row.flatMap(RequestRow::keeper)
+                .ifPresent(keeper -> markSilent(tick.world(), keeper, tick.nowMillis()));
+        row.ifPresent(found -> askAnotherKeeper(tick, found));
         return row.isPresent();
     }
 
@@ -96,19 +100,23 @@
         }
     }
 
-    private void askAnotherKeeper(RouterWorld world, RequestRow row, long nowMillis) {
+    private static void askAnotherKeeper(RouterTick tick, RequestRow row) {
         RequestId id = row.spec().id();
-        if (world.remainingLenders().has(id)) {
-            Borrowing.askNextLender(world, row, List.of(), limits, nowMillis);
+        if (tick.world().remainingLenders().has(id)) {
+            Borrowing.askNextLender(tick.world(), row, List.of(), tick.limits(), tick.nowMillis());
         } else {
-            world.timers().set(new ReserveTimeout(id), nowMillis + limits.reserveTimeoutMillis());
-            Admission.askKeeper(world, row);
+            tick.world()
+                    .timers()
+                    .set(
+                            new ReserveTimeout(id),
+                            tick.nowMillis() + tick.limits().reserveTimeoutMillis());
+            Admission.askKeeper(tick.world(), row);
         }
     }
 
-    private boolean checkSilence(RouterWorld world, AttemptSilenceCheck due, long nowMillis) {
-        Optional<AttemptRow> attempt = world.attempts().find(due.attempt());
-        attempt.ifPresent(row -> checkSilence(world, row, nowMillis));
+    private static boolean checkSilence(RouterTick tick, AttemptSilenceCheck due) {
+        Optional<AttemptRow> attempt = tick.world().attempts().find(due.attempt());
+        attempt.ifPresent(row -> checkSilence(tick, row));
         return attempt.isPresent();
     }
 
@@ -116,20 +124,22 @@
      * Frees the endpoint's memory while the caller does not read, unless no other attempt could
      * continue the answer.
      */
-    private void handlePause(RouterWorld world, AttemptRow row, long nowMillis) {
+    private static void handlePause(RouterTick tick, AttemptRow row) {
         boolean isContinuable =
-                world.requests()
+                tick.world()
+                        .requests()
                         .find(row.request())
                         .filter(request -> request.spec().route().repeatable())
                         .filter(RequestRow::resumable)
                         .isPresent();
         if (isContinuable) {
-            park(world, row);
+            park(tick.world(), row);
         } else {
-            world.timers()
+            tick.world()
+                    .timers()
                     .set(
                             new AttemptSilenceCheck(row.id()),
-                            nowMillis + limits.pauseTimeoutMillis());
+                            tick.nowMillis() + tick.limits().pauseTimeoutMillis());
         }
     }
 
@@ -140,20 +150,18 @@
         world.note(EventKind.ATTEMPT_PARKED, row.id(), "position=" + row.nextPosition());
     }
 
-    private void checkSilence(RouterWorld world, AttemptRow row, long nowMillis) {
-        long timeoutMillis = silenceTimeoutMillis(row);
+    private static void checkSilence(RouterTick tick, AttemptRow row) {
+        long timeoutMillis = silenceTimeoutMillis(tick.limits(), row);
         long dueMillis = row.lastProgressMillis() + timeoutMillis;
         if (row.paused()) {
-            handlePause(world, row, nowMillis);
-        } else if (nowMillis < dueMillis) {
-            world.timers().set(new AttemptSilenceCheck(row.id()), dueMillis);
+            handlePause(tick, row);
+        } else if (tick.nowMillis() < dueMillis) {
+            tick.world().timers().set(new AttemptSilenceCheck(row.id()), dueMillis);
         } else {
-            waitingRequest(world, row)
+            waitingRequest(tick.world(), row)
                     .ifPresentOrElse(
-                            request ->
-                                    new SilenceDetection(world, limits, nowMillis)
-                                            .check(row, request, timeoutMillis),
-                            () -> failSilent(world, row));
+                            request -> tick.silences().check(row, request, timeoutMillis),
+                            () -> failSilent(tick.world(), row));
         }
     }
 
@@ -166,7 +174,7 @@
                                 "no data from the endpoint within the timeout"));
     }
 
-    private long silenceTimeoutMillis(AttemptRow row) {
+    private static long silenceTimeoutMillis(RouterLimits limits, AttemptRow row) {
         boolean hasProgress = row.lastProgressMillis() > row.startedMillis();
         return hasProgress ? limits.stallTimeoutMillis() : limits.firstTokenTimeoutMillis();
     }
