--- a/core/src/main/java/org/bramleylatch/core/RouterLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterLimits.java
@@ -52,8 +52,11 @@
     /** Live endpoints register again within 2 s after an outage of the registry. */
     private static final long REGISTRY_GRACE_MILLIS = 2_300;
 
-    /** Covers a holder's own wait for the log and a few round trips within a zone. */
-    private static final long RESERVE_TIMEOUT_MILLIS = 300;
+    /**
+     * Covers a holder's own wait for the log and a busy holder's delay. A shorter one asks a second
+     * holder for requests that the first one is about to answer, which loads both.
+     */
+    private static final long RESERVE_TIMEOUT_MILLIS = 600;
 
     /** Covers a lender's own wait for the log and a few round trips between zones. */
     private static final long LENDER_TIMEOUT_MILLIS = 160;
