Hold a margin of two and a quarter deviations, not three

Change: the least margin, in steps of a quarter, with which the model of a store cut keeps its bounds (refused under 3 in 100, under 1.5 questions a request): 1 refuses 7.3%, 1.5 3.9%, 2 asks 1.507.

--- a/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantPolicy.java
@@ -29,7 +29,7 @@
     double SHORT_TERM_LOW_WATERMARK = 0.8;
 
     /** In seconds, a small budget has few requests, and their number varies widely. */
-    double SHORT_TERM_MARGIN_DEVIATIONS = 3;
+    double SHORT_TERM_MARGIN_DEVIATIONS = 2.25;
 
     /**
      * Returns the policy by forecast demand for grants that last for seconds.
