--- a/core/src/main/java/org/bramleylatch/core/EndpointSignals.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointSignals.java
@@ -57,7 +57,7 @@
      * Returns how long it takes until the first of the endpoints that serve the request is no
      * longer paused; empty if none of them is paused.
      */
-    Optional<Long> pauseOf(String backEnd) {
+    Optional<Long> millisUntilPauseEnds(String backEnd) {
         List<EndpointRow> paused =
                 world.endpoints().where(row -> row.backEnd().equals(backEnd) && isPaused(row.id()));
         return paused.stream()
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -76,7 +76,7 @@
     private static void refuseUnservable(
             RouterWorld world, RequestRow row, List<EndpointRow> accepting, long nowMillis) {
         Optional<Long> pauseMillis =
-                new EndpointSignals(world, nowMillis).pauseOf(row.spec().backEnd());
+                new EndpointSignals(world, nowMillis).millisUntilPauseEnds(row.spec().backEnd());
         if (accepting.isEmpty() && row.deliveredTokens() == 0 && pauseMillis.isPresent()) {
             RequestCompletion.refuse(
                     world, row, ResultCode.OVERLOADED, "endpoints asked for a pause", pauseMillis);
--- a/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
@@ -22,7 +22,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Maintains a connection to each keeper of the zone; reconnects when one is lost. */
+/** Maintains a connection to each keeper that was named; reconnects when one is lost. */
 public final class KeeperConnections {
     private static final Logger LOG = LoggerFactory.getLogger(KeeperConnections.class);
     private static final long RECONNECT_DELAY_MILLIS = 200;
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -158,13 +158,29 @@
                     if (exchange.isEmpty() || clock.millis() >= spec.deadlineMillis()) {
                         request.reset();
                     } else {
-                        head(exchange.get(), spec, entry)
-                                .write(exchange.get().request().headers(), request.headers());
-                        call.send(request, uses.count(request.connection()));
+                        sendNow(exchange.get(), call, request, spec, entry);
                     }
                 });
     }
 
+    /** Writes the request; one whose head can't be written was not sent. */
+    private void sendNow(
+            CallerExchange exchange,
+            EndpointCall call,
+            HttpClientRequest request,
+            RequestSpec spec,
+            EndpointEntry entry) {
+        try {
+            head(exchange, spec, entry).write(exchange.request().headers(), request.headers());
+        } catch (RuntimeException unwritable) {
+            LOG.warn("head of a request to {} could not be written", entry.id(), unwritable);
+            request.reset();
+            call.connectionFailed(unwritable);
+            return;
+        }
+        call.send(request, uses.count(request.connection()));
+    }
+
     private void reportNotStarted(AttemptId attempt, String detail) {
         inbox.accept(
                 new RouterInput.AttemptFailed(
