--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -131,9 +131,11 @@
      */
     private static List<EndpointRow> acceptingEndpoints(
             RouterWorld world, RequestRow row, long nowMillis) {
-        List<EndpointRow> accepting = world.candidates(row, nowMillis);
+        List<EndpointRow> accepting = new Candidates(world, nowMillis).of(row);
         List<EndpointRow> ofOldVersion =
-                accepting.isEmpty() ? world.oldVersionCandidates(row, nowMillis) : List.of();
+                accepting.isEmpty()
+                        ? new Candidates(world, nowMillis).ofOldVersion(row)
+                        : List.of();
         if (!ofOldVersion.isEmpty()) {
             MoveReportSystem.countFallbackToOldVersion(world, row);
         }
@@ -151,9 +153,11 @@
         if (QuarantineSystem.findBlocking(world, row, nowMillis).isPresent()) {
             return false;
         }
-        List<EndpointRow> accepting = world.candidates(row, nowMillis);
+        List<EndpointRow> accepting = new Candidates(world, nowMillis).of(row);
         List<EndpointRow> possible =
-                accepting.isEmpty() ? world.oldVersionCandidates(row, nowMillis) : accepting;
+                accepting.isEmpty()
+                        ? new Candidates(world, nowMillis).ofOldVersion(row)
+                        : accepting;
         RateLimits rateLimits = new RateLimits(world, nowMillis);
         long worstCaseTokens = row.spec().worstCaseTokens();
         long free =
