Move the gateway's three servers out of its daemon

GatewayServers listens for callers, for readiness checks, and for peers and metrics; moved without a change of what it does.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -4,12 +4,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Context;
-import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.http.HttpServerRequest;
-import io.vertx.ext.web.Router;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -35,13 +31,11 @@
 import org.bramleylatch.core.RouterWorld;
 import org.bramleylatch.core.VmRow;
 import org.bramleylatch.edge.FailureLog;
-import org.bramleylatch.edge.HttpServers;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
 import org.bramleylatch.edge.KeeperMessageTranslation;
 import org.bramleylatch.edge.LedgerStream;
 import org.bramleylatch.edge.LoopLag;
-import org.bramleylatch.edge.MonitoringHandlers;
 import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.edge.RandomIds;
 import org.bramleylatch.edge.RequestMetrics;
@@ -51,7 +45,6 @@
 import org.bramleylatch.platform.PeerEntry;
 import org.bramleylatch.platform.PlatformLimits;
 import org.bramleylatch.platform.StoreClient;
-import org.bramleylatch.wire.Address;
 
 /** Runs a router and a keeper in one process, both on the same event loop. */
 public final class GatewayDaemon {
@@ -88,7 +81,7 @@
     private final MessageHandlers<RouterOutput> routerHandlers;
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final PlannedStop plannedStop;
-    private final List<Integer> ports = new ArrayList<>();
+    private final GatewayServers servers;
 
     private GatewayDaemon(
             Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
@@ -98,6 +91,7 @@
         this.boot = boot;
         this.settings = settings;
         this.loopLag = new LoopLag(clock);
+        this.servers = new GatewayServers(vertx, metricsRegistry);
         this.eventLog = new EventLog(clock, boot.vm(), settings.logLinesPerSecond());
         this.metrics = new RequestMetrics(metricsRegistry, "gateway");
         this.keeper = RandomIds.newIncarnation("keeper", boot.vm());
@@ -125,10 +119,7 @@
                 new KeeperConnections(vertx, router, hybridClock, routerLoop::offer);
         this.peerDirectory = peerDirectory();
         this.reportStore = new ReportStore(vertx, store, routerLoop::offer);
-        this.rolloutWriter =
-                new LatestValueWriter<>(
-                        vertx,
-                        (key, report) -> store.putRolloutState(report.order(), report.state()));
+        this.rolloutWriter = rolloutWriter();
         this.routerHandlers = routerHandlers();
         this.keeperHandlers = keeperHandlers();
     }
@@ -202,6 +193,11 @@
                 routerLoop::offer);
     }
 
+    private LatestValueWriter<RouterOutput.ReportRollout> rolloutWriter() {
+        return new LatestValueWriter<>(
+                vertx, (key, report) -> store.putRolloutState(report.order(), report.state()));
+    }
+
     private PeerDirectory peerDirectory() {
         return new PeerDirectory(
                 vertx,
@@ -290,36 +286,15 @@
                 .follow();
         new OrphanWatch(vertx, routerLoop.world(), callerServer, endpointClient, metricsRegistry)
                 .start();
-        Router monitoringRoutes = Router.router(vertx);
-        MonitoringHandlers.mount(monitoringRoutes, metricsRegistry, this::isReady);
-        Handler<HttpServerRequest> internalHandler =
-                request -> {
-                    if (routerConnections.isGrpcRequest(request)) {
-                        routerConnections.handle(request);
-                    } else {
-                        monitoringRoutes.handle(request);
-                    }
-                };
-        Router readinessRoutes = Router.router(vertx);
-        readinessRoutes
-                .get("/ready")
-                .handler(call -> call.response().setStatusCode(isReady() ? 200 : 503).end());
-        listen(boot.callerAddress(), callerServer::handleRequest)
-                .thenCompose(done -> listen(boot.readinessAddress(), readinessRoutes))
-                .thenCompose(done -> listen(boot.internalAddress(), internalHandler))
+        servers.listen(boot, callerServer, routerConnections, this::isReady)
                 .whenComplete((done, failure) -> completeStart(started, failure));
     }
 
-    private CompletableFuture<Void> listen(Address address, Handler<HttpServerRequest> handler) {
-        return HttpServers.listen(vertx, address, handler)
-                .thenAccept(server -> ports.add(server.actualPort()));
-    }
-
     /**
      * Returns the ports for callers, for readiness checks and for peers and metrics, in this order.
      */
     List<Integer> ports() {
-        return List.copyOf(ports);
+        return servers.ports();
     }
 
     private void completeStart(CompletableFuture<GatewayDaemon> started, Throwable failure) {
