Move the boot file of the cost measurement into platform

Cause: GatewayCostMain wrote the platform's names itself. Change: LoopbackPlatform makes the boot file.

--- a/bench/src/main/java/org/bramleylatch/bench/GatewayCostMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/GatewayCostMain.java
@@ -21,6 +21,7 @@
     private static final int WARM_UP_REQUESTS = 400;
     private static final int REQUESTS = 1_000;
     private static final int CONCURRENT = 2;
+    private static final int ZONES = 5;
     private static final int START_SECONDS = 4;
     private static final int IDLE_SECONDS = 10;
     private static final int[] PEERS = {1, 3, 6};
@@ -112,7 +113,7 @@
     private Process start(int index) throws IOException {
         int port = CALLER_PORT_BASE + index * PORTS_PER_GATEWAY;
         Path boot = folder.resolve("boot-" + index + ".json");
-        Files.writeString(boot, bootFile(index, port));
+        Files.writeString(boot, platform.bootFile("front-" + index, "zone-" + index % ZONES, port));
         String[] command = deployCommand();
         ProcessBuilder builder =
                 new ProcessBuilder(command)
@@ -131,19 +132,6 @@
                 .split(" ");
     }
 
-    private String bootFile(int index, int port) {
-        return """
-                {"node": "front-%d", "ip": "127.0.0.1", "zone": "zone-%d",
-                 "listen": {"front": "127.0.0.1:%d", "readiness": "127.0.0.1:%d"},
-                 "internalPorts": [%d],
-                 "provider": {"address": "%s", "keep_s": 300},
-                 "limits": {"cpuShare": 0.75, "cores": 1},
-                 "bounds": {"graceS": 8, "retryBudgetRatio": 0.2, "budgetExtra": 56,
-                  "budgetWindowS": 10}}
-                """
-                .formatted(index, index % 5, port, port + 1, port + 2, platform.storeAddress());
-    }
-
     private static void print(String name, List<LinearFit.Point> points) {
         LinearFit fit = LinearFit.of(points);
         System.out.printf(
