--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -12,6 +12,7 @@
 final class Caller {
     final String id;
     int in;
+    volatile long sentMillis;
     volatile int status;
     volatile int events;
     volatile boolean complete;
@@ -39,6 +40,7 @@
     }
 
     Caller start() {
+        sentMillis = System.currentTimeMillis();
         Store.daemon(this::run).start();
         return this;
     }
