--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -d target/review review/standin/*.java
+javac -d target/review review/*.java
