Stop a gateway process while callers go on, and count what ends late

It shares the soak's harness, whose callers now take their habits as a value, and whose result names the lost requests.

--- a/proof/src/test/java/org/bramleylatch/proof/Soak.java
+++ b/proof/src/test/java/org/bramleylatch/proof/Soak.java
@@ -31,28 +31,31 @@
     private final Deque<SoakPlan.Step> plan = new ArrayDeque<>();
     private final List<LongConsumer> systems;
 
-    Soak(long seed, Path folder) {
+    Soak(long seed, Path folder, SoakCallers.Habits habits, SoakAnswer.Behavior behavior) {
         world = new SoakWorld(vertx, seed);
         process = new SoakProcess(world, folder, store.address());
-        endpoints = new SoakEndpoints(world, store);
-        callers = new SoakCallers(world, process);
+        endpoints = new SoakEndpoints(world, store, behavior);
+        callers = new SoakCallers(world, process, habits);
         judge = new SoakJudge(world);
         systems = List.of(this::playSteps, endpoints::tick, callers::tick, this::endOverdue);
     }
 
-    /** Holds the counts and the findings of a soak. */
-    record Result(int requests, long answered, List<String> findings) {}
+    /**
+     * Holds the counts and the findings of a soak.
+     *
+     * @param lost the requests whose connection hung, and ended without a status line
+     * @param last the process that ran last
+     */
+    record Result(
+            int requests,
+            long answered,
+            List<String> findings,
+            List<String> lost,
+            SoakProcessRow last) {}
 
     /** Plays the plan of the seed for a time, lets the requests end, and stops the process. */
     Result run(long millis) throws InterruptedException {
-        endpoints.start();
-        onLoop(
-                () -> {
-                    configure(SoakConfig.first());
-                    process.start();
-                });
-        Await.until("the process is ready", SETTLE_TIMEOUT_MILLIS, process::isReady);
-        onLoop(() -> begin(millis));
+        start(SoakPlan.draw(world.seed(), millis));
         TimeUnit.MILLISECONDS.sleep(millis);
         onLoop(callers::stop);
         Await.until("all requests have ended", SETTLE_TIMEOUT_MILLIS, this::isQuiet);
@@ -60,13 +63,39 @@
         Await.until("no request is open", SETTLE_TIMEOUT_MILLIS, process::hasNoOpenRequest);
         process.checkOrphans().join();
         onLoop(process::retire);
-        Await.until("the process has stopped", SETTLE_TIMEOUT_MILLIS, process::hasEnded);
+        awaitEnd();
         return onLoop(this::judgeAll);
     }
 
-    private void begin(long millis) {
+    /** Plays steps of which one retires the process; callers go on until it is gone. */
+    Result runUntilEnd(List<SoakPlan.Step> steps) {
+        start(steps);
+        awaitEnd();
+        onLoop(plan::clear);
+        onLoop(callers::stop);
+        Await.until("all requests have ended", SETTLE_TIMEOUT_MILLIS, this::isQuiet);
+        return onLoop(this::judgeAll);
+    }
+
+    private void start(List<SoakPlan.Step> steps) {
+        endpoints.start();
+        onLoop(
+                () -> {
+                    configure(SoakConfig.first());
+                    process.start();
+                });
+        Await.until("the process is ready", SETTLE_TIMEOUT_MILLIS, process::isReady);
+        onLoop(() -> begin(steps));
+    }
+
+    private void awaitEnd() {
+        Await.until(
+                "the process has stopped", SETTLE_TIMEOUT_MILLIS, () -> onLoop(process::hasEnded));
+    }
+
+    private void begin(List<SoakPlan.Step> steps) {
         world.restartClock();
-        SoakPlan.draw(world.seed(), millis).forEach(plan::add);
+        plan.addAll(steps);
         process.write("plan.txt", Joiner.on('\n').join(plan));
         callers.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> systems.forEach(s -> s.accept(world.nowMillis())));
@@ -92,14 +121,18 @@
     }
 
     private Result judgeAll() {
-        world.requests()
-                .rows()
-                .sorted(Comparator.comparingLong(SoakRequest::begunMillis))
-                .forEach(request -> judge.judge(request).ifPresent(world::add));
+        List<SoakRequest> requests =
+                world.requests()
+                        .rows()
+                        .sorted(Comparator.comparingLong(SoakRequest::begunMillis))
+                        .toList();
+        requests.forEach(request -> judge.judge(request).ifPresent(world::add));
         return new Result(
-                world.requests().size(),
-                world.requests().rows().filter(SoakRequest::isServed).count(),
-                world.findings());
+                requests.size(),
+                requests.stream().filter(SoakRequest::isServed).count(),
+                world.findings(),
+                requests.stream().filter(judge::isLost).map(judge::describe).toList(),
+                process.current());
     }
 
     SoakProcess process() {
--- a/proof/src/test/java/org/bramleylatch/proof/SoakAnswer.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakAnswer.java
@@ -67,6 +67,11 @@
                 : TROUBLES.get(plan.random.nextInt(TROUBLES.size())).answer(plan);
     }
 
+    /** Draws a sound answer that takes a short time. */
+    static SoakAnswer prompt(Plan plan) {
+        return sound("sound", plan, plan.random.nextInt(20), 0);
+    }
+
     /** Returns the refusal of a request that is meant for another endpoint. */
     static SoakAnswer misdirected(Plan plan) {
         String head = head("421 Misdirected Request", plan, "not-executed: 1\r\n");
--- a/proof/src/test/java/org/bramleylatch/proof/SoakCallers.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakCallers.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.IntPredicate;
+import java.util.function.ToIntFunction;
 import java.util.stream.IntStream;
 import org.bramleylatch.proof.SoakRequest.End;
 import org.bramleylatch.proof.SoakRequest.EndKind;
@@ -15,7 +17,6 @@
     /** Four fifths of the shortest idle timeout, for which callers use a connection again. */
     private static final int MAX_IDLE_MILLIS = 160;
 
-    private static final int CALLERS = 30;
     private static final int RECONNECT_MILLIS = 50;
     private static final int CONTINUE_MILLIS = 1_000;
     private static final int STATUS_CONTINUE = 100;
@@ -24,10 +25,36 @@
     private final SoakProcess process;
     private final NetClient client;
     private final Random random;
+    private final Habits habits;
     private int requestCount;
     private boolean stopped;
 
-    SoakCallers(SoakWorld world, SoakProcess process) {
+    /**
+     * Holds what callers do.
+     *
+     * @param count the number of callers
+     * @param requests decides what they send
+     * @param pause draws the milliseconds between an answer and the next request
+     * @param stays true for the number of a caller that uses a connection until it is gone, even
+     *     when an answer says that it will be closed
+     */
+    record Habits(
+            int count,
+            SoakRequestText.Source requests,
+            ToIntFunction<Random> pause,
+            IntPredicate stays) {
+        /** Returns the habits of callers that send requests of all kinds. */
+        static Habits mixed() {
+            return new Habits(
+                    30,
+                    SoakRequestText::draw,
+                    random -> random.nextBoolean() ? 0 : random.nextInt(MAX_IDLE_MILLIS),
+                    number -> false);
+        }
+    }
+
+    SoakCallers(SoakWorld world, SoakProcess process, Habits habits) {
+        this.habits = habits;
         this.world = world;
         this.process = process;
         this.client = world.vertx().createNetClient();
@@ -35,7 +62,7 @@
     }
 
     void start() {
-        IntStream.range(0, CALLERS)
+        IntStream.range(0, habits.count())
                 .forEach(
                         number ->
                                 put(
@@ -80,7 +107,7 @@
         socket.exceptionHandler(SoakSockets::ignoreBrokenConnection);
         socket.handler(bytes -> receive(caller.number(), socket, bytes));
         socket.closeHandler(closed -> readRestAndDisconnect(caller.number(), socket));
-        put(caller.connected(socket, process.number(), world.nowMillis()));
+        put(caller.connected(socket, process.number(), nextMillis()));
     }
 
     /** Lets a caller that reads slowly read what arrived before the connection closed. */
@@ -91,7 +118,8 @@
 
     private void begin(SoakCaller caller) {
         requestCount++;
-        SoakRequestText text = SoakRequestText.draw(random, world.seed(), requestCount, caller);
+        String newId = "s" + world.seed() + "-" + requestCount;
+        SoakRequestText text = habits.requests().draw(random, newId, caller);
         long nowMillis = world.nowMillis();
         world.requests()
                 .put(
@@ -158,19 +186,22 @@
         } else if (message.isComplete()) {
             boolean keep =
                     caller.unsentParts().isEmpty()
-                            && !message.header("connection").equalsIgnoreCase("close");
+                            && (habits.stays().test(caller.number())
+                                    || !message.header("connection").equalsIgnoreCase("close"));
             end(caller, EndKind.COMPLETE, Optional.of(message));
-            long idleMillis = random.nextBoolean() ? 0 : random.nextInt(MAX_IDLE_MILLIS);
-            long nextMillis = world.nowMillis() + idleMillis;
             if (keep) {
-                put(caller.idleUntil(nextMillis));
+                put(caller.idleUntil(nextMillis()));
             } else {
-                put(SoakCaller.disconnected(caller.number(), nextMillis));
                 socket.close();
+                connect(SoakCaller.disconnected(caller.number(), world.nowMillis()));
             }
         }
     }
 
+    private long nextMillis() {
+        return world.nowMillis() + habits.pause().applyAsInt(random);
+    }
+
     private void leave(SoakCaller caller) {
         caller.socket()
                 .ifPresent(
--- a/proof/src/test/java/org/bramleylatch/proof/SoakEndpoints.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakEndpoints.java
@@ -19,10 +19,12 @@
 
     private final SoakWorld world;
     private final LoopbackStore store;
+    private final SoakAnswer.Behavior behavior;
 
-    SoakEndpoints(SoakWorld world, LoopbackStore store) {
+    SoakEndpoints(SoakWorld world, LoopbackStore store, SoakAnswer.Behavior behavior) {
         this.world = world;
         this.store = store;
+        this.behavior = behavior;
     }
 
     void start() {
@@ -152,7 +154,7 @@
                         headers(endpoint, message),
                         new Random(world.seed() * 31 + (id + instance).hashCode()));
         return endpoint.name().equals(instance)
-                ? SoakAnswer.draw(plan)
+                ? behavior.answer(plan)
                 : SoakAnswer.misdirected(plan);
     }
 
--- a/proof/src/test/java/org/bramleylatch/proof/SoakJudge.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakJudge.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.bramleylatch.proof.SoakRequest.End;
+import org.bramleylatch.proof.SoakRequest.EndKind;
 
 /** Judges the ends of requests by the rules, whatever the gateway's reasons were. */
 final class SoakJudge {
@@ -27,6 +28,9 @@
     /** The interval at which a gateway measures how late it reads requests (LoopLag). */
     private static final long LAG_PERIOD_MILLIS = 100;
 
+    /** The time in which a connection that ends may cross a request (lossSlackMs). */
+    private static final long LOSS_SLACK_MILLIS = 200;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_INTERNAL = 500;
     private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
@@ -49,6 +53,15 @@
                 .isPresent();
     }
 
+    /** Returns true if the connection hung after the whole request, and ended without a status. */
+    boolean isLost(SoakRequest request) {
+        return request.end()
+                .filter(end -> end.kind() == EndKind.CLOSED && end.answer().isEmpty())
+                .flatMap(end -> request.sentMillis().map(sent -> end.atMillis() - sent))
+                .filter(hungMillis -> hungMillis > LOSS_SLACK_MILLIS)
+                .isPresent();
+    }
+
     /** Returns what is wrong with the end of the request; empty if it is allowed. */
     Optional<String> judge(SoakRequest request) {
         List<SoakRun> runs = world.runsOf(request.id());
@@ -186,6 +199,11 @@
                 : answer.body();
     }
 
+    /** Returns the request's times and what became of it. */
+    String describe(SoakRequest request) {
+        return describe(request, world.runsOf(request.id()));
+    }
+
     private String describe(SoakRequest request, List<SoakRun> runs) {
         return "request=%s route=%s process=%s begun=%d sent=%s deadline=%d slow=%d end=%s runs=%s"
                 .formatted(
--- a/proof/src/test/java/org/bramleylatch/proof/SoakProcess.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakProcess.java
@@ -90,11 +90,7 @@
                             .redirectErrorStream(true)
                             .redirectOutput(logFile.toFile())
                             .start();
-            world.processes()
-                    .put(
-                            number,
-                            new SoakProcessRow(
-                                    number, process, logFile, Optional.empty(), Optional.empty()));
+            world.processes().put(number, SoakProcessRow.started(number, process, logFile));
             int started = number;
             process.onExit().thenRun(() -> context.runOnContext(done -> restart(started)));
         } catch (IOException notStarted) {
@@ -107,7 +103,8 @@
      * one meanwhile. Any other end that nobody asked for is reported.
      */
     private void restart(int ended) {
-        SoakProcessRow row = world.processes().find(ended).orElseThrow();
+        SoakProcessRow row =
+                world.processes().update(ended, r -> r.ended(world.nowMillis())).orElseThrow();
         if (read(row.logFile()).contains(ResultCode.PORT_IN_USE.name())) {
             pickPorts();
         } else if (row.stopMillis().isEmpty() && row.killedMillis().isEmpty() && !closed) {
@@ -118,7 +115,7 @@
 
     /** Sends SIGTERM, and kills the process when its grace is over. */
     void stop() {
-        SoakProcessRow asked = current().stopped(current().stopMillis().orElse(world.nowMillis()));
+        SoakProcessRow asked = current().stopped(world.nowMillis());
         world.processes().put(number, asked);
         sendSignal("TERM", asked);
         world.vertx().setTimer(GRACE_MILLIS, late -> endGrace(asked));
@@ -221,7 +218,7 @@
     }
 
     boolean hasEnded() {
-        return !current().process().isAlive();
+        return current().endedMillis().isPresent();
     }
 
     /** Kills the process that runs now, and starts no other one. */
@@ -230,7 +227,8 @@
         world.processes().rows().forEach(row -> row.process().destroyForcibly());
     }
 
-    private SoakProcessRow current() {
+    /** Returns the process that was started last. */
+    SoakProcessRow current() {
         return world.processes().find(number).orElseThrow();
     }
 
--- a/proof/src/test/java/org/bramleylatch/proof/SoakRequestText.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakRequestText.java
@@ -31,22 +31,38 @@
     private static final int MAX_BODY_BYTES = 40_000;
     private static final int MAX_PIECES = 6;
 
-    static SoakRequestText draw(Random random, long seed, int count, SoakCaller caller) {
-        String id = "s" + seed + "-" + count;
+    private static final int SHORT_BYTES = 20;
+    private static final int SHORT_DEADLINE_MILLIS = 2_000;
+
+    /** Decides what a caller sends. */
+    @FunctionalInterface
+    interface Source {
+        SoakRequestText draw(Random random, String id, SoakCaller caller);
+    }
+
+    /** Returns a short request whose caller waits for the answer. */
+    static SoakRequestText shortRequest(Random random, String id, SoakCaller caller) {
+        return new SoakRequestText(
+                id,
+                "lookup",
+                SHORT_BYTES,
+                SHORT_DEADLINE_MILLIS,
+                List.of(
+                        head(id, "lookup", SHORT_BYTES, SHORT_DEADLINE_MILLIS, caller)
+                                + "content-length: 0\r\n\r\n"),
+                0,
+                Optional.empty());
+    }
+
+    /** Draws any request. */
+    static SoakRequestText draw(Random random, String id, SoakCaller caller) {
         String route = ROUTES.get(random.nextInt(ROUTES.size()));
         int size =
                 route.equals("chat")
                         ? 1 + random.nextInt(MAX_EVENTS)
                         : 1 + random.nextInt(oneIn(random, 4) ? MAX_ANSWER_BYTES : 200);
         long deadlineMillis = 500 + random.nextInt(4_000);
-        String head =
-                "POST /%s/%s/%d HTTP/1.1\r\nhost: ropes.example\r\nrequest-id: %s\r\n"
-                                .formatted(route, id, size, id)
-                        + "deadline-ms: %d\r\ntoken-counts: 100,%d\r\nx-api-key: key-%d\r\n"
-                                .formatted(
-                                        deadlineMillis,
-                                        route.equals("chat") ? size * TOKENS_PER_EVENT : 16,
-                                        caller.number() % 2);
+        String head = head(id, route, size, deadlineMillis, caller);
         return new SoakRequestText(
                 id,
                 route,
@@ -57,6 +73,17 @@
                 oneIn(random, 10) ? Optional.of((long) random.nextInt(600)) : Optional.empty());
     }
 
+    private static String head(
+            String id, String route, int size, long deadlineMillis, SoakCaller caller) {
+        return "POST /%s/%s/%d HTTP/1.1\r\nhost: ropes.example\r\nrequest-id: %s\r\n"
+                        .formatted(route, id, size, id)
+                + "deadline-ms: %d\r\ntoken-counts: 100,%d\r\nx-api-key: key-%d\r\n"
+                        .formatted(
+                                deadlineMillis,
+                                route.equals("chat") ? size * TOKENS_PER_EVENT : 16,
+                                caller.number() % 2);
+    }
+
     private static List<String> parts(String head, Random random) {
         String body = "x".repeat(random.nextInt(oneIn(random, 3) ? MAX_BODY_BYTES : 100));
         boolean isChunked = oneIn(random, 3);
--- a/proof/src/test/java/org/bramleylatch/proof/SoakTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakTest.java
@@ -32,7 +32,7 @@
     void everyRequestEndsInAWayThatTheRulesAllow(long seed) throws InterruptedException {
         Path folder = Path.of("target", "soak", "seed-" + seed).toAbsolutePath();
         delete(folder);
-        try (Soak soak = new Soak(seed, folder)) {
+        try (Soak soak = new Soak(seed, folder, SoakCallers.Habits.mixed(), SoakAnswer::draw)) {
             Soak.Result result = soak.run(MILLIS);
             System.out.printf(
                     "soak seed=%d requests=%d served=%d findings=%d logs=%s%n",
