Log the steps of a planned stop and the connections that the process closes

Change: STOP_STEP at each step with the time since the signal, open requests, attempts, connections and unwritten answers; CONNECTION_CLOSED with the phase that was ended. No decision changes, except that requests are ended at the end of the grace period only while the router has not stopped; it has none otherwise.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -4,6 +4,10 @@
 public enum EventKind {
     PROCESS_STARTED,
     PROCESS_STOPPED,
+    /** A step of a planned stop is done; what is still open. */
+    STOP_STEP,
+    /** The process closed a caller's connection on which it waited for the caller. */
+    CONNECTION_CLOSED,
     SETTINGS_RELOADED,
     /** The event loop was late; requests that were read then may have waited as long. */
     LOOP_LATE,
--- a/gateway/src/main/java/org/bramleylatch/gateway/AnswerWrites.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/AnswerWrites.java
@@ -23,6 +23,11 @@
         written.onComplete(done -> end());
     }
 
+    /** Returns the number of open writes. */
+    int count() {
+        return openWrites;
+    }
+
     /** Returns a future that completes once no write is open. */
     CompletableFuture<Void> whenDone() {
         CompletableFuture<Void> done = new CompletableFuture<>();
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
@@ -5,7 +5,10 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.bramleylatch.core.Event;
+import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.Table;
 import org.bramleylatch.edge.ConnectionReads;
 import org.bramleylatch.gateway.CallerConnectionRow.Phase;
@@ -20,6 +23,7 @@
 
     private final InstantSource clock;
     private final Supplier<CallerLimits> limits;
+    private final Consumer<Event> events;
     private final Table<HttpConnection, CallerConnectionRow> rows = Table.empty();
     private final ConsecutiveCheck<HttpConnection> overdueCheck = new ConsecutiveCheck<>();
 
@@ -27,10 +31,17 @@
      * Creates a table without connections.
      *
      * @param limits supplies the operator's limits in force
+     * @param events receives an event for each phase that is ended
      */
-    CallerConnections(InstantSource clock, Supplier<CallerLimits> limits) {
+    CallerConnections(InstantSource clock, Supplier<CallerLimits> limits, Consumer<Event> events) {
         this.clock = clock;
         this.limits = limits;
+        this.events = events;
+    }
+
+    /** Returns the number of open connections. */
+    int count() {
+        return rows.size();
     }
 
     /**
@@ -97,9 +108,19 @@
                                 rows.find(connection)
                                         .filter(row -> !row.isOverdue(nowMillis, current))
                                         .isPresent())
-                .forEach(
-                        connection ->
-                                rows.find(connection).ifPresent(row -> row.onOverdue().run()));
+                .forEach(connection -> rows.find(connection).ifPresent(this::end));
+    }
+
+    private void end(CallerConnectionRow row) {
+        events.accept(
+                Event.of(
+                        EventKind.CONNECTION_CLOSED,
+                        row.connection().remoteAddress(),
+                        "phase="
+                                + row.phase()
+                                + " phaseMillis="
+                                + (clock.millis() - row.sinceMillis())));
+        row.onOverdue().run();
     }
 
     private void noteBytes(HttpConnection connection) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -117,6 +117,15 @@
         return writes.whenDone();
     }
 
+    int openConnections() {
+        return reader.connections().count();
+    }
+
+    /** Returns how many answers have ended but are not written to their callers. */
+    int unwrittenAnswers() {
+        return writes.count();
+    }
+
     /** Sends tokens, an answer or a refusal to the caller of the request that the message names. */
     void handleOutput(RouterOutput output) {
         handlers.accept(output);
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -75,6 +75,7 @@
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final PlannedStop plannedStop;
     private final GatewayServers servers;
+    private volatile long stopAskedMillis;
 
     private GatewayDaemon(
             Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
@@ -178,7 +179,8 @@
                 () -> routerLoop.offer(new RouterInput.StopAsked()),
                 () -> routerLoop.offer(new RouterInput.StopTimeReached()),
                 () -> keeperLoop.offer(new KeeperInput.StopAsked()),
-                callerServer::whenAnswersWritten);
+                callerServer::whenAnswersWritten,
+                this::recordStopStep);
     }
 
     private EndpointClient endpointClient() {
@@ -236,6 +238,7 @@
      *     platform's grace period
      */
     public CompletableFuture<Void> stop() {
+        stopAskedMillis = clock.millis();
         context.runOnContext(ignored -> beginStop());
         return plannedStop.whenStopped();
     }
@@ -317,6 +320,25 @@
         return plannedStop.hasBegun();
     }
 
+    private void recordStopStep(PlannedStop.Step step) {
+        recordEvent(
+                Event.of(
+                        EventKind.STOP_STEP,
+                        router,
+                        "step="
+                                + step
+                                + " sinceSignalMillis="
+                                + (clock.millis() - stopAskedMillis)
+                                + " requests="
+                                + routerLoop.world().requests().size()
+                                + " attempts="
+                                + routerLoop.world().attempts().size()
+                                + " connections="
+                                + callerServer.openConnections()
+                                + " unwrittenAnswers="
+                                + callerServer.unwrittenAnswers()));
+    }
+
     private void beginStop() {
         recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested, no longer ready"));
         plannedStop.begin();
--- a/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -16,12 +17,23 @@
     /** The time at the end of the grace period that is reserved for the last appends to the log. */
     private static final long LAST_APPENDS_MILLIS = 700;
 
+    /** Names what has happened in a stop, for the log. */
+    enum Step {
+        ROUTER_ASKED,
+        OPEN_REQUESTS_ENDED,
+        ROUTER_STOPPED,
+        KEEPER_STOPPED,
+        TIME_OVER,
+        STOPPED
+    }
+
     private final Vertx vertx;
     private final long graceMillis;
     private final Runnable stopRouter;
     private final Runnable endOpenRequests;
     private final Runnable stopKeeper;
     private final Supplier<CompletableFuture<Void>> answersWritten;
+    private final Consumer<Step> steps;
     private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
     private final CompletableFuture<Void> keeperStopped = new CompletableFuture<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -36,6 +48,7 @@
      * @param stopKeeper asks the keeper to return its grants
      * @param answersWritten returns a future that completes once every answer that has ended is
      *     written
+     * @param steps receives each step once it is done, before the next one begins
      */
     PlannedStop(
             Vertx vertx,
@@ -43,25 +56,25 @@
             Runnable stopRouter,
             Runnable endOpenRequests,
             Runnable stopKeeper,
-            Supplier<CompletableFuture<Void>> answersWritten) {
+            Supplier<CompletableFuture<Void>> answersWritten,
+            Consumer<Step> steps) {
         this.vertx = vertx;
         this.graceMillis = graceMillis;
         this.stopRouter = stopRouter;
         this.endOpenRequests = endOpenRequests;
         this.stopKeeper = stopKeeper;
         this.answersWritten = answersWritten;
+        this.steps = steps;
     }
 
     /** Begins the stop; called on the event loop. */
     void begin() {
         begun = true;
-        runAfter(BALANCER_REMOVAL_MILLIS, stopRouter);
+        runAfter(BALANCER_REMOVAL_MILLIS, this::askRouter);
         runAfter(graceMillis - LAST_APPENDS_MILLIS, this::endRouter);
-        runAfter(graceMillis - LAST_APPENDS_MILLIS / 2, () -> stopped.complete(null));
+        runAfter(graceMillis - LAST_APPENDS_MILLIS / 2, () -> end(Step.TIME_OVER));
         routerStopped.thenRun(stopKeeper);
-        keeperStopped
-                .thenCompose(done -> answersWritten.get())
-                .thenRun(() -> stopped.complete(null));
+        keeperStopped.thenCompose(done -> answersWritten.get()).thenRun(() -> end(Step.STOPPED));
     }
 
     /** Returns true once the stop has begun. */
@@ -71,12 +84,12 @@
 
     /** Records that no request is left and all usage is durable. */
     void markRouterStopped() {
-        routerStopped.complete(null);
+        complete(routerStopped, Step.ROUTER_STOPPED);
     }
 
     /** Records that the keeper has returned its grants. */
     void markKeeperStopped() {
-        keeperStopped.complete(null);
+        complete(keeperStopped, Step.KEEPER_STOPPED);
     }
 
     /** Returns a future that completes when the process may exit, within the grace period. */
@@ -84,9 +97,28 @@
         return stopped;
     }
 
+    private void askRouter() {
+        steps.accept(Step.ROUTER_ASKED);
+        stopRouter.run();
+    }
+
     private void endRouter() {
-        endOpenRequests.run();
-        markRouterStopped();
+        if (!routerStopped.isDone()) {
+            steps.accept(Step.OPEN_REQUESTS_ENDED);
+            endOpenRequests.run();
+            markRouterStopped();
+        }
+    }
+
+    private void end(Step reason) {
+        complete(stopped, reason);
+    }
+
+    private void complete(CompletableFuture<Void> reached, Step step) {
+        if (!reached.isDone()) {
+            steps.accept(step);
+            reached.complete(null);
+        }
     }
 
     private void runAfter(long delayMillis, Runnable step) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/RequestReader.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/RequestReader.java
@@ -74,7 +74,7 @@
         this.limits = limits;
         this.writes = writes;
         this.onRead = onRead;
-        this.connections = new CallerConnections(clock, limits.ofOperator());
+        this.connections = new CallerConnections(clock, limits.ofOperator(), events);
     }
 
     /** Returns the callers' connections whose time is bounded. */
