Read and answer callers until a stopping gateway has no connection left

Cause: the process gave up its event loop while callers could still reach it. Once its requests were done, the shutdown hook returned; the exit of the runtime waits 300 ms for threads that are in a system call, and reads nothing meanwhile. The port was open and connections were kept all the while. The stop was timed from when the event loop learned of the signal, and left 350 ms for all that follows.

Change: idle connections are closed once the balancer has removed the VM, each only if nothing was read from it in two ticks with a read in between (CallerDrain). When the keeper has returned its grants, the gateway stops to listen (ListeningSocket), goes on to read, answer and close, and leaves when no connection is open. A handler of SIGTERM and SIGINT takes the place of the shutdown hook: it stops the runtime's threads, writes the log lines that wait, and halts (ProcessExit). The grace period counts from the signal, and its last steps begin earlier: 1.3 s, 1.0 s and 0.7 s before its end. A second signal is logged and changes nothing.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -11,6 +12,7 @@
 import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.Table;
 import org.bramleylatch.edge.ConnectionReads;
+import org.bramleylatch.edge.ListeningSocket;
 import org.bramleylatch.gateway.CallerConnectionRow.Phase;
 import org.bramleylatch.platform.CallerLimits;
 
@@ -26,6 +28,7 @@
     private final Consumer<Event> events;
     private final Table<HttpConnection, CallerConnectionRow> rows = Table.empty();
     private final ConsecutiveCheck<HttpConnection> overdueCheck = new ConsecutiveCheck<>();
+    private Optional<ListeningSocket> listeningSocket = Optional.empty();
 
     /**
      * Creates a table without connections.
@@ -44,6 +47,21 @@
         return rows.size();
     }
 
+    /** Returns the open connections. */
+    List<HttpConnection> open() {
+        return rows.keys().toList();
+    }
+
+    /** Returns true if nothing of a request was read from the open connection. */
+    boolean isIdle(HttpConnection connection) {
+        return rows.find(connection).filter(row -> row.phase() == Phase.IDLE).isPresent();
+    }
+
+    /** Returns the socket that connections were accepted from; empty if there was none. */
+    Optional<ListeningSocket> listeningSocket() {
+        return listeningSocket;
+    }
+
     /**
      * Starts to look for phases that last too long. Each check is timed from the one before, so
      * that two checks are never closer, even after the process was paused.
@@ -59,6 +77,7 @@
 
     /** Adds a new connection, which is idle. */
     void open(HttpConnection connection) {
+        listeningSocket = listeningSocket.or(() -> Optional.of(ListeningSocket.of(connection)));
         connection.closeHandler(closed -> rows.remove(connection));
         rows.put(connection, idle(connection));
         ConnectionReads.onRead(connection, () -> noteBytes(connection));
@@ -108,7 +127,12 @@
                                 rows.find(connection)
                                         .filter(row -> !row.isOverdue(nowMillis, current))
                                         .isPresent())
-                .forEach(connection -> rows.find(connection).ifPresent(this::end));
+                .forEach(this::end);
+    }
+
+    /** Ends what the connection waits for. */
+    void end(HttpConnection connection) {
+        rows.find(connection).ifPresent(this::end);
     }
 
     private void end(CallerConnectionRow row) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -117,8 +117,9 @@
         return writes.whenDone();
     }
 
-    int openConnections() {
-        return reader.connections().count();
+    /** Returns the callers' open connections. */
+    CallerConnections connections() {
+        return reader.connections();
     }
 
     /** Returns how many answers have ended but are not written to their callers. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -75,7 +75,6 @@
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final PlannedStop plannedStop;
     private final GatewayServers servers;
-    private volatile long stopAskedMillis;
 
     private GatewayDaemon(
             Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
@@ -173,13 +172,17 @@
     }
 
     private PlannedStop plannedStop() {
+        CallerDrain drain = new CallerDrain(vertx, callerServer.connections());
         return new PlannedStop(
                 vertx,
+                clock,
                 boot.limits().shutdownGraceMillis(),
-                () -> routerLoop.offer(new RouterInput.StopAsked()),
-                () -> routerLoop.offer(new RouterInput.StopTimeReached()),
-                () -> keeperLoop.offer(new KeeperInput.StopAsked()),
-                callerServer::whenAnswersWritten,
+                new PlannedStop.Actions(
+                        () -> routerLoop.offer(new RouterInput.StopAsked()),
+                        drain::start,
+                        () -> routerLoop.offer(new RouterInput.StopTimeReached()),
+                        () -> keeperLoop.offer(new KeeperInput.StopAsked()),
+                        () -> drain.finish().thenCompose(d -> callerServer.whenAnswersWritten())),
                 this::recordStopStep);
     }
 
@@ -238,8 +241,8 @@
      *     platform's grace period
      */
     public CompletableFuture<Void> stop() {
-        stopAskedMillis = clock.millis();
-        context.runOnContext(ignored -> beginStop());
+        long askedMillis = clock.millis();
+        context.runOnContext(ignored -> beginStop(askedMillis));
         return plannedStop.whenStopped();
     }
 
@@ -320,7 +323,7 @@
         return plannedStop.hasBegun();
     }
 
-    private void recordStopStep(PlannedStop.Step step) {
+    private void recordStopStep(PlannedStop.Step step, long sinceAskedMillis) {
         recordEvent(
                 Event.of(
                         EventKind.STOP_STEP,
@@ -328,20 +331,24 @@
                         "step="
                                 + step
                                 + " sinceSignalMillis="
-                                + (clock.millis() - stopAskedMillis)
+                                + sinceAskedMillis
                                 + " requests="
                                 + routerLoop.world().requests().size()
                                 + " attempts="
                                 + routerLoop.world().attempts().size()
                                 + " connections="
-                                + callerServer.openConnections()
+                                + callerServer.connections().count()
                                 + " unwrittenAnswers="
                                 + callerServer.unwrittenAnswers()));
     }
 
-    private void beginStop() {
+    private void beginStop(long askedMillis) {
+        if (isStopping()) {
+            recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested again"));
+            return;
+        }
         recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested, no longer ready"));
-        plannedStop.begin();
+        plannedStop.begin(askedMillis);
     }
 
     private void handleOutput(KeeperOutput output) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -9,6 +10,7 @@
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.edge.Build;
 import org.bramleylatch.edge.MonotonicClock;
+import org.bramleylatch.edge.ProcessExit;
 import org.bramleylatch.edge.Signals;
 import org.bramleylatch.platform.BootFile;
 import org.kohsuke.args4j.CmdLineException;
@@ -20,6 +22,7 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE_ERROR = 2;
     private static final String NAME = "bramleylatch-gateway";
+    private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
 
     @Option(name = "--settings", metaVar = "FILE", usage = "the gateway's settings, in JSON")
     private String settings = "deploy/gateway.json";
@@ -50,7 +53,7 @@
             }
         } catch (ResultException | CompletionException failure) {
             System.err.println(NAME + ": " + failure.getMessage());
-            System.exit(EXIT_FAILED);
+            ProcessExit.now(EXIT_FAILED);
         }
     }
 
@@ -91,8 +94,8 @@
     }
 
     /**
-     * Installs the handler of SIGHUP first, as the signal ends a process that has none, and the one
-     * of SIGTERM before callers are served.
+     * Installs the handler of SIGHUP first, as the signal ends a process that has none, and the
+     * ones of the signals that stop the process before callers are served.
      */
     private void start() {
         AtomicReference<Optional<GatewayDaemon>> started = new AtomicReference<>(Optional.empty());
@@ -102,12 +105,13 @@
                         MonotonicClock.system(),
                         BootFile.read(boot),
                         GatewaySettings.read(settings));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stopOnceStarted(starting)));
+        STOP_SIGNALS.forEach(name -> Signals.on(name, () -> stopOnceStarted(starting)));
         started.set(Optional.of(starting.join()));
     }
 
     /** Stops a daemon that may still start; {@link #main} reports why one did not start. */
     private static void stopOnceStarted(CompletableFuture<GatewayDaemon> starting) {
-        starting.thenCompose(GatewayDaemon::stop).exceptionally(notStarted -> null).join();
+        starting.thenCompose(daemon -> daemon.stop().thenCompose(stopped -> daemon.close()))
+                .thenRun(() -> ProcessExit.now(ProcessExit.STOPPED_BY_SIGNAL));
     }
 }
--- a/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
@@ -1,21 +1,39 @@
 package org.bramleylatch.gateway;
 
 import io.vertx.core.Vertx;
+import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 
 /**
  * Runs a planned stop in order: the balancer removes the process, the router finishes its requests,
- * the keeper returns its grants, and the last answers are written. Each step ends in time for the
- * steps after it, whether it is done or not.
+ * the keeper returns its grants, and the last connections are closed. Each step ends in time for
+ * the steps after it, whether it is done or not. Callers are read and answered until the end.
  */
 final class PlannedStop {
     /** The balancer checks readiness every second and removes a router after two failures. */
     private static final long BALANCER_REMOVAL_MILLIS = 2_500;
 
-    /** The time at the end of the grace period that is reserved for the last appends to the log. */
-    private static final long LAST_APPENDS_MILLIS = 700;
+    /** The time at the end of the grace period in which open requests are ended and billed. */
+    private static final long LAST_APPENDS_MILLIS = 1_300;
+
+    /** The time at the end of the grace period in which the last connections are closed. */
+    private static final long LAST_CLOSES_MILLIS = 1_000;
+
+    /** The time at the end of the grace period in which the process exits, on a VM that is late. */
+    private static final long EXIT_MILLIS = 700;
+
+    private final Vertx vertx;
+    private final InstantSource clock;
+    private final long graceMillis;
+    private final Actions actions;
+    private final ObjLongConsumer<Step> steps;
+    private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
+    private final CompletableFuture<Void> keeperStopped = new CompletableFuture<>();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private boolean begun;
+    private long askedMillis;
 
     /** Names what has happened in a stop, for the log. */
     enum Step {
@@ -23,58 +41,66 @@
         OPEN_REQUESTS_ENDED,
         ROUTER_STOPPED,
         KEEPER_STOPPED,
+        CLOSE_TIME_REACHED,
         TIME_OVER,
         STOPPED
     }
 
-    private final Vertx vertx;
-    private final long graceMillis;
-    private final Runnable stopRouter;
-    private final Runnable endOpenRequests;
-    private final Runnable stopKeeper;
-    private final Supplier<CompletableFuture<Void>> answersWritten;
-    private final Consumer<Step> steps;
-    private final CompletableFuture<Void> routerStopped = new CompletableFuture<>();
-    private final CompletableFuture<Void> keeperStopped = new CompletableFuture<>();
-    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
-    private boolean begun;
-
     /**
-     * Creates a stop that has not begun.
+     * Holds what the steps do, each on the event loop.
      *
-     * @param graceMillis the time after which the platform ends the process
      * @param stopRouter asks the router to refuse new requests and to finish those that are open
+     * @param closeIdleConnections closes idle connections from now on
      * @param endOpenRequests asks the router to answer the requests that are still open
      * @param stopKeeper asks the keeper to return its grants
-     * @param answersWritten returns a future that completes once every answer that has ended is
-     *     written
-     * @param steps receives each step once it is done, before the next one begins
+     * @param closeConnections takes no more connections; completes once every answer that has ended
+     *     is written and no connection is open
      */
-    PlannedStop(
-            Vertx vertx,
-            long graceMillis,
+    record Actions(
             Runnable stopRouter,
+            Runnable closeIdleConnections,
             Runnable endOpenRequests,
             Runnable stopKeeper,
-            Supplier<CompletableFuture<Void>> answersWritten,
-            Consumer<Step> steps) {
+            Supplier<CompletableFuture<Void>> closeConnections) {}
+
+    /**
+     * Creates a stop that has not begun.
+     *
+     * @param graceMillis the time after which the platform ends the process
+     * @param steps receives each step once it is done, and the milliseconds since the stop was
+     *     asked for
+     */
+    PlannedStop(
+            Vertx vertx,
+            InstantSource clock,
+            long graceMillis,
+            Actions actions,
+            ObjLongConsumer<Step> steps) {
         this.vertx = vertx;
+        this.clock = clock;
         this.graceMillis = graceMillis;
-        this.stopRouter = stopRouter;
-        this.endOpenRequests = endOpenRequests;
-        this.stopKeeper = stopKeeper;
-        this.answersWritten = answersWritten;
+        this.actions = actions;
         this.steps = steps;
     }
 
-    /** Begins the stop; called on the event loop. */
-    void begin() {
+    /**
+     * Begins the stop; called once, on the event loop.
+     *
+     * @param newAskedMillis when the stop was asked for, from which the grace period counts
+     */
+    void begin(long newAskedMillis) {
         begun = true;
-        runAfter(BALANCER_REMOVAL_MILLIS, this::askRouter);
-        runAfter(graceMillis - LAST_APPENDS_MILLIS, this::endRouter);
-        runAfter(graceMillis - LAST_APPENDS_MILLIS / 2, () -> end(Step.TIME_OVER));
-        routerStopped.thenRun(stopKeeper);
-        keeperStopped.thenCompose(done -> answersWritten.get()).thenRun(() -> end(Step.STOPPED));
+        askedMillis = newAskedMillis;
+        runAt(BALANCER_REMOVAL_MILLIS, this::stopRouter);
+        runAt(graceMillis - LAST_APPENDS_MILLIS, this::endRouter);
+        runAt(
+                graceMillis - LAST_CLOSES_MILLIS,
+                () -> complete(keeperStopped, Step.CLOSE_TIME_REACHED));
+        runAt(graceMillis - EXIT_MILLIS, () -> complete(stopped, Step.TIME_OVER));
+        routerStopped.thenRun(actions.stopKeeper());
+        keeperStopped
+                .thenCompose(done -> actions.closeConnections().get())
+                .thenRun(() -> complete(stopped, Step.STOPPED));
     }
 
     /** Returns true once the stop has begun. */
@@ -97,31 +123,33 @@
         return stopped;
     }
 
-    private void askRouter() {
-        steps.accept(Step.ROUTER_ASKED);
-        stopRouter.run();
+    private void stopRouter() {
+        note(Step.ROUTER_ASKED);
+        actions.stopRouter().run();
+        actions.closeIdleConnections().run();
     }
 
     private void endRouter() {
         if (!routerStopped.isDone()) {
-            steps.accept(Step.OPEN_REQUESTS_ENDED);
-            endOpenRequests.run();
+            note(Step.OPEN_REQUESTS_ENDED);
+            actions.endOpenRequests().run();
             markRouterStopped();
         }
     }
 
-    private void end(Step reason) {
-        complete(stopped, reason);
-    }
-
     private void complete(CompletableFuture<Void> reached, Step step) {
         if (!reached.isDone()) {
-            steps.accept(step);
+            note(step);
             reached.complete(null);
         }
     }
 
-    private void runAfter(long delayMillis, Runnable step) {
+    private void note(Step step) {
+        steps.accept(step, clock.millis() - askedMillis);
+    }
+
+    private void runAt(long sinceAskedMillis, Runnable step) {
+        long delayMillis = askedMillis + sinceAskedMillis - clock.millis();
         vertx.setTimer(Math.max(1, delayMillis), ignored -> step.run());
     }
 }
