--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -75,6 +75,7 @@
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final PlannedStop plannedStop;
     private final GatewayServers servers;
+    private volatile boolean closing;
 
     private GatewayDaemon(
             Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
@@ -252,6 +253,7 @@
      * @return completes once nothing runs any more
      */
     CompletableFuture<Void> close() {
+        closing = true;
         return vertx.close().toCompletionStage().toCompletableFuture();
     }
 
@@ -265,7 +267,7 @@
     }
 
     private void startOnContext(CompletableFuture<GatewayDaemon> started) {
-        Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
+        Infrastructure.setDefaultExecutor(this::runUnlessClosing);
         loopLag.start(vertx);
         callerServer.start(vertx);
         recordEvent(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
@@ -295,6 +297,13 @@
                 .whenComplete((done, failure) -> completeStart(started, failure));
     }
 
+    /** Timers of the runtime's scheduler may end after the event loop, which then takes no task. */
+    private void runUnlessClosing(Runnable task) {
+        if (!closing) {
+            context.runOnContext(ignored -> task.run());
+        }
+    }
+
     /**
      * Returns the ports for callers, for readiness checks and for peers and metrics, in this order.
      */
