End no attempt before its caller's own time on a VM that is late

Cause: a process that is behind can't tell how long what it reads has waited, and dates the request back by the whole delay. That is right for refusing what may be too late, and wrong for ending work whose caller is still there.

Change: the time at which the head was read goes with the request (ArrivalTime, Call.headReadMillis). An attempt that runs at the assumed deadline goes on for the difference, 250 ms at most, half of the time after a route's timeout in which its callers are told at the latest. A request without an attempt is refused at the assumed deadline as before, and a caller that leaves ends its attempt at once, so no endpoint works on for a caller who has left.

Evidence: LateArrivalTest.anAttemptLastsUntilTheLatestTimeAtWhichItsCallerMayLeave failed without the change (refused with DEADLINE_EXCEEDED 120 ms early) and passes with it, as do the other tests of late arrivals and deadlines.

--- a/core/src/main/java/org/bramleylatch/core/Call.java
+++ b/core/src/main/java/org/bramleylatch/core/Call.java
@@ -18,6 +18,7 @@
  * @param prefixHash a hash of the shared prefix
  * @param sharedPartIds the ids of the prompt's parts that other requests may share, in order
  * @param arrivedMillis when the head could have been read
+ * @param headReadMillis when the head was read; the caller sent it no later
  * @param completedMillis when the end of the body could have been read
  * @param callerTimeoutMillis how long the caller waits, counted from the arrival
  */
@@ -33,6 +34,7 @@
         long prefixHash,
         List<String> sharedPartIds,
         long arrivedMillis,
+        long headReadMillis,
         long completedMillis,
         long callerTimeoutMillis) {
 
--- a/core/src/main/java/org/bramleylatch/core/CallResolver.java
+++ b/core/src/main/java/org/bramleylatch/core/CallResolver.java
@@ -45,7 +45,11 @@
                 call.prefixHash(),
                 call.arrivedMillis() + options.effectiveTimeoutMillis(call.callerTimeoutMillis()),
                 new RequestTraits(
-                        call.sharedPrefixTokens(), call.sharedPartIds(), priority, metered));
+                        call.sharedPrefixTokens(),
+                        call.sharedPartIds(),
+                        priority,
+                        metered,
+                        call.headReadMillis() - call.arrivedMillis()));
     }
 
     private boolean refuse(Call call, ResultCode code) {
--- a/core/src/main/java/org/bramleylatch/core/RequestTraits.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestTraits.java
@@ -10,9 +10,14 @@
  * @param sharedPartIds the ids of the prompt's parts that other requests may share, in order
  * @param priority the rank among queued requests; 0 is the most urgent
  * @param metered true if the request is billed to a budget
+ * @param arrivalDoubtMillis how much later than assumed the request may have arrived
  */
 public record RequestTraits(
-        long sharedPrefixTokens, List<String> sharedPartIds, int priority, boolean metered) {
+        long sharedPrefixTokens,
+        List<String> sharedPartIds,
+        int priority,
+        boolean metered,
+        long arrivalDoubtMillis) {
     private static final RequestTraits STANDARD = new RequestTraits(0, List.of(), 0, true);
 
     /** Copies the list. */
@@ -20,6 +25,12 @@
         sharedPartIds = List.copyOf(sharedPartIds);
     }
 
+    /** Returns the traits of a request that arrived when it was read. */
+    public RequestTraits(
+            long sharedPrefixTokens, List<String> sharedPartIds, int priority, boolean metered) {
+        this(sharedPrefixTokens, sharedPartIds, priority, metered, 0);
+    }
+
     /** Returns the traits of a request whose prompt's parts are not known. */
     public RequestTraits(long sharedPrefixTokens, int priority, boolean metered) {
         this(sharedPrefixTokens, List.of(), priority, metered);
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -17,9 +17,12 @@
     /** Longer than most freezes of a process, and shorter than a grant lasts. */
     private static final long KEEPER_RETRIAL_MILLIS = 2_000;
 
+    /** Half of the time after a route's timeout in which its callers are told at the latest. */
+    private static final long MAX_DOUBT_MILLIS = 250;
+
     private static final TickDispatch<RouterTick, RouterTimer> HANDLERS =
             TickDispatch.<RouterTick, RouterTimer>empty()
-                    .on(RequestDeadline.class, (tick, due) -> expire(tick.world(), due.request()))
+                    .on(RequestDeadline.class, (tick, due) -> expire(tick, due.request()))
                     .on(ReserveTimeout.class, RouterTimerSystem::expireReserve)
                     .on(RouterTimer.KeeperRetrial.class, RouterTimerSystem::endSilence)
                     .on(AttemptSilenceCheck.class, RouterTimerSystem::checkSilence)
@@ -46,13 +49,25 @@
         return tick.world().silentKeepers().remove(due.keeper());
     }
 
-    private static boolean expire(RouterWorld world, RequestId id) {
-        Optional<RequestRow> row = world.requests().find(id);
-        row.ifPresent(
-                found -> RequestCompletion.refuse(world, found, deadlineCode(found), "deadline"));
+    private static boolean expire(RouterTick tick, RequestId id) {
+        Optional<RequestRow> row = tick.world().requests().find(id);
+        row.ifPresent(found -> expire(tick, found));
         return row.isPresent();
     }
 
+    /** Leaves an attempt the time by which its request may have arrived later than assumed. */
+    private static void expire(RouterTick tick, RequestRow row) {
+        RequestSpec spec = row.spec();
+        long lastMillis =
+                spec.deadlineMillis()
+                        + Math.min(spec.traits().arrivalDoubtMillis(), MAX_DOUBT_MILLIS);
+        if (row.attempt().isPresent() && tick.nowMillis() < lastMillis) {
+            tick.world().timers().set(new RequestDeadline(spec.id()), lastMillis);
+        } else {
+            RequestCompletion.refuse(tick.world(), row, deadlineCode(row), "deadline");
+        }
+    }
+
     private static ResultCode deadlineCode(RequestRow row) {
         return row.stage() == Stage.QUEUED ? ResultCode.OVERLOADED : ResultCode.DEADLINE_EXCEEDED;
     }
--- a/core/src/test/java/org/bramleylatch/core/LateArrivalTest.java
+++ b/core/src/test/java/org/bramleylatch/core/LateArrivalTest.java
@@ -97,6 +97,29 @@
         assertThat(router.outputs(RouterOutput.ToKeeper.class)).isEmpty();
     }
 
+    /**
+     * Guards against streams that are cut before their callers' time, as a late VM dated them back.
+     */
+    @Test
+    void anAttemptLastsUntilTheLatestTimeAtWhichItsCallerMayLeave() {
+        RouterHarness router = new RouterHarness().endpoints("one");
+        router.receive(
+                new RouterInput.ConfigurationReceived(
+                        new Configuration(1, List.of(), List.of(ROUTE))));
+        long nowMillis = router.nowMillis();
+        long waitedMillis = 120;
+        router.receive(
+                new RouterInput.CallArrived(
+                        call(TIMEOUT_MILLIS, nowMillis - waitedMillis, nowMillis, nowMillis)));
+        assertThat(router.outputs(RouterOutput.StartAttempt.class)).hasSize(1);
+        router.advance(TIMEOUT_MILLIS - 1);
+        assertThat(router.outputs(RouterOutput.Refuse.class)).isEmpty();
+        router.advance(1);
+        assertThat(router.outputs(RouterOutput.Refuse.class))
+                .extracting(RouterOutput.Refuse::code)
+                .containsExactly(ResultCode.DEADLINE_EXCEEDED);
+    }
+
     private static Optional<ResultCode> refusal(long timeoutMillis, long waitedMillis) {
         return LateArrival.findRefusal(call(timeoutMillis, 0), OPTIONS, waitedMillis);
     }
@@ -106,6 +129,11 @@
     }
 
     private static Call call(long timeoutMillis, long arrivedMillis, long completedMillis) {
+        return call(timeoutMillis, arrivedMillis, arrivedMillis, completedMillis);
+    }
+
+    private static Call call(
+            long timeoutMillis, long arrivedMillis, long headReadMillis, long completedMillis) {
         return new Call(
                 RequestId.of("request-" + arrivedMillis),
                 RequestKey.of(arrivedMillis, 1),
@@ -118,6 +146,7 @@
                 0,
                 List.of(),
                 arrivedMillis,
+                headReadMillis,
                 completedMillis,
                 timeoutMillis);
     }
--- a/core/src/test/java/org/bramleylatch/core/RandomChangesTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RandomChangesTest.java
@@ -185,6 +185,7 @@
                             List.of(),
                             router.nowMillis(),
                             router.nowMillis(),
+                            router.nowMillis(),
                             timeoutMillis));
         }
         return new RouterInput.RequestArrived(
--- a/core/src/test/java/org/bramleylatch/core/RouterHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterHarness.java
@@ -123,6 +123,7 @@
                                 List.of(),
                                 nowMillis,
                                 nowMillis,
+                                nowMillis,
                                 TIMEOUT_MILLIS)));
         return id;
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -29,7 +29,7 @@
     private final HttpServerRequest request;
     private final CallerRequestHead head;
     private final RequestBody body;
-    private final long arrivedMillis;
+    private final ArrivalTime arrival;
     private final AnswerWrites writes;
     private Optional<EndpointAnswerHead> answerHead = Optional.empty();
     private OptionalLong lastEventId = OptionalLong.empty();
@@ -42,12 +42,12 @@
             HttpServerRequest request,
             CallerRequestHead head,
             RequestBody body,
-            long arrivedMillis,
+            ArrivalTime arrival,
             AnswerWrites writes) {
         this.request = request;
         this.head = head;
         this.body = body;
-        this.arrivedMillis = arrivedMillis;
+        this.arrival = arrival;
         this.writes = writes;
     }
 
@@ -87,8 +87,14 @@
         body.release();
     }
 
+    /** Returns when the request's head may have arrived at the earliest. */
     long arrivedMillis() {
-        return arrivedMillis;
+        return arrival.earliestMillis();
+    }
+
+    /** Returns when the request's head was read. */
+    long readMillis() {
+        return arrival.readMillis();
     }
 
     /** Returns true once a part of a streamed answer has been sent. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -242,6 +242,7 @@
                 head.prefixHash(),
                 head.sharedPartIds(),
                 exchange.arrivedMillis(),
+                exchange.readMillis(),
                 Math.max(exchange.arrivedMillis(), clock.millis() - lag.getAsLong()),
                 head.callerTimeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS));
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/RequestReader.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/RequestReader.java
@@ -96,7 +96,8 @@
                             "path=" + request.path() + " connection is closing"));
             return;
         }
-        long arrivedMillis = clock.millis() - lag.getAsLong();
+        long nowMillis = clock.millis();
+        ArrivalTime arrival = new ArrivalTime(nowMillis - lag.getAsLong(), nowMillis);
         RequestBody body = new RequestBody(limits.bodyBudget());
         request.exceptionHandler(
                 failure -> {
@@ -108,12 +109,12 @@
                         request,
                         limits.ofOperator().get().maxBodyBytes(),
                         body,
-                        code -> refuseEarly(request, body, arrivedMillis, code));
+                        code -> refuseEarly(request, body, arrival, code));
         connections.awaitBody(
                 request,
                 bodyPatienceMillis(request),
                 () -> reader.giveUp(ResultCode.DEADLINE_EXCEEDED));
-        reader.read(() -> readHead(request, body, arrivedMillis));
+        reader.read(() -> readHead(request, body, arrival));
     }
 
     private static long bodyPatienceMillis(HttpServerRequest request) {
@@ -122,19 +123,19 @@
                 .orElse(MAX_BODY_MILLIS);
     }
 
-    private void readHead(HttpServerRequest request, RequestBody body, long arrivedMillis) {
+    private void readHead(HttpServerRequest request, RequestBody body, ArrivalTime arrival) {
         connections.awaitAnswer(request);
         try {
             CallerRequestHead head = CallerRequestHead.of(request);
-            onRead.accept(newExchange(request, head, body, arrivedMillis));
+            onRead.accept(newExchange(request, head, body, arrival));
         } catch (ResultException refused) {
-            refuse(request, body, arrivedMillis, refused);
+            refuse(request, body, arrival, refused);
         } catch (RuntimeException failure) {
             LOG.error("request could not be read", failure);
             refuse(
                     request,
                     body,
-                    arrivedMillis,
+                    arrival,
                     ResultException.of(ResultCode.INTERNAL, "request could not be read"));
         }
     }
@@ -143,11 +144,11 @@
     private void refuse(
             HttpServerRequest request,
             RequestBody body,
-            long arrivedMillis,
+            ArrivalTime arrival,
             ResultException refused) {
         metrics.countRefusal(refused.code());
         body.release();
-        newExchange(request, CallerRequestHead.empty(), body, arrivedMillis)
+        newExchange(request, CallerRequestHead.empty(), body, arrival)
                 .refuse(refusal(refused.code(), refused.getMessage()), true);
     }
 
@@ -156,7 +157,7 @@
      * resets it, which can destroy the refusal, so the rest of the body is read and dropped first.
      */
     private void refuseEarly(
-            HttpServerRequest request, RequestBody body, long arrivedMillis, ResultCode code) {
+            HttpServerRequest request, RequestBody body, ArrivalTime arrival, ResultCode code) {
         metrics.countRefusal(code);
         String detail =
                 "body of "
@@ -176,8 +177,7 @@
                                         .orElse("")
                                 + " "
                                 + detail));
-        CallerExchange exchange =
-                newExchange(request, CallerRequestHead.empty(), body, arrivedMillis);
+        CallerExchange exchange = newExchange(request, CallerRequestHead.empty(), body, arrival);
         exchange.refuseEarly(refusal(code, detail));
         request.endHandler(end -> exchange.endEarlyRefusal());
         request.exceptionHandler(left -> LOG.debug("caller left a refused request", left));
@@ -192,8 +192,8 @@
             HttpServerRequest request,
             CallerRequestHead head,
             RequestBody body,
-            long arrivedMillis) {
-        CallerExchange exchange = new CallerExchange(request, head, body, arrivedMillis, writes);
+            ArrivalTime arrival) {
+        CallerExchange exchange = new CallerExchange(request, head, body, arrival, writes);
         exchange.onClosing(() -> closingConnections.add(request.connection()));
         exchange.onWritten(() -> connections.endAnswer(request));
         return exchange;
--- a/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
@@ -108,7 +108,7 @@
                         request,
                         CallerRequestHead.empty(),
                         new RequestBody(BodyBudget.ofHeap(0)),
-                        0,
+                        new ArrivalTime(0, 0),
                         new AnswerWrites()));
     }
 
