--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
@@ -4,10 +4,15 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.bramleylatch.core.Event;
+import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.Table;
 import org.bramleylatch.edge.ConnectionReads;
+import org.bramleylatch.edge.ListeningSocket;
 import org.bramleylatch.gateway.CallerConnectionRow.Phase;
 import org.bramleylatch.platform.CallerLimits;
 
@@ -20,17 +25,41 @@
 
     private final InstantSource clock;
     private final Supplier<CallerLimits> limits;
+    private final Consumer<Event> events;
     private final Table<HttpConnection, CallerConnectionRow> rows = Table.empty();
     private final ConsecutiveCheck<HttpConnection> overdueCheck = new ConsecutiveCheck<>();
+    private Optional<ListeningSocket> listeningSocket = Optional.empty();
 
     /**
      * Creates a table without connections.
      *
      * @param limits supplies the operator's limits in force
+     * @param events receives an event for each phase that is ended
      */
-    CallerConnections(InstantSource clock, Supplier<CallerLimits> limits) {
+    CallerConnections(InstantSource clock, Supplier<CallerLimits> limits, Consumer<Event> events) {
         this.clock = clock;
         this.limits = limits;
+        this.events = events;
+    }
+
+    /** Returns the number of open connections. */
+    int count() {
+        return rows.size();
+    }
+
+    /** Returns the open connections. */
+    List<HttpConnection> open() {
+        return rows.keys().toList();
+    }
+
+    /** Returns true if nothing of a request was read from the open connection. */
+    boolean isIdle(HttpConnection connection) {
+        return rows.find(connection).filter(row -> row.phase() == Phase.IDLE).isPresent();
+    }
+
+    /** Returns the socket that connections were accepted from; empty if there was none. */
+    Optional<ListeningSocket> listeningSocket() {
+        return listeningSocket;
     }
 
     /**
@@ -48,6 +77,7 @@
 
     /** Adds a new connection, which is idle. */
     void open(HttpConnection connection) {
+        listeningSocket = listeningSocket.or(() -> Optional.of(ListeningSocket.of(connection)));
         connection.closeHandler(closed -> rows.remove(connection));
         rows.put(connection, idle(connection));
         ConnectionReads.onRead(connection, () -> noteBytes(connection));
@@ -97,9 +127,24 @@
                                 rows.find(connection)
                                         .filter(row -> !row.isOverdue(nowMillis, current))
                                         .isPresent())
-                .forEach(
-                        connection ->
-                                rows.find(connection).ifPresent(row -> row.onOverdue().run()));
+                .forEach(this::end);
+    }
+
+    /** Ends what the connection waits for. */
+    void end(HttpConnection connection) {
+        rows.find(connection).ifPresent(this::end);
+    }
+
+    private void end(CallerConnectionRow row) {
+        events.accept(
+                Event.of(
+                        EventKind.CONNECTION_CLOSED,
+                        row.connection().remoteAddress(),
+                        "phase="
+                                + row.phase()
+                                + " phaseMillis="
+                                + (clock.millis() - row.sinceMillis())));
+        row.onOverdue().run();
     }
 
     private void noteBytes(HttpConnection connection) {
