Move the log of a planned stop out of the daemon

Change: StopLog describes what is open at each step; PlannedStop itself tells a first request to stop from a further one.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -184,7 +184,7 @@
                         () -> routerLoop.offer(new RouterInput.StopTimeReached()),
                         () -> keeperLoop.offer(new KeeperInput.StopAsked()),
                         () -> drain.finish().thenCompose(d -> callerServer.whenAnswersWritten())),
-                this::recordStopStep);
+                new StopLog(routerLoop.world(), callerServer, this::recordEvent));
     }
 
     private EndpointClient endpointClient() {
@@ -243,7 +243,7 @@
      */
     public CompletableFuture<Void> stop() {
         long askedMillis = clock.millis();
-        context.runOnContext(ignored -> beginStop(askedMillis));
+        context.runOnContext(ignored -> plannedStop.begin(askedMillis));
         return plannedStop.whenStopped();
     }
 
@@ -332,34 +332,6 @@
         return plannedStop.hasBegun();
     }
 
-    private void recordStopStep(PlannedStop.Step step, long sinceAskedMillis) {
-        recordEvent(
-                Event.of(
-                        EventKind.STOP_STEP,
-                        router,
-                        "step="
-                                + step
-                                + " sinceSignalMillis="
-                                + sinceAskedMillis
-                                + " requests="
-                                + routerLoop.world().requests().size()
-                                + " attempts="
-                                + routerLoop.world().attempts().size()
-                                + " connections="
-                                + callerServer.connections().count()
-                                + " unwrittenAnswers="
-                                + callerServer.unwrittenAnswers()));
-    }
-
-    private void beginStop(long askedMillis) {
-        if (isStopping()) {
-            recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested again"));
-            return;
-        }
-        recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested, no longer ready"));
-        plannedStop.begin(askedMillis);
-    }
-
     private void handleOutput(KeeperOutput output) {
         if (output instanceof KeeperOutput.ToRouter reply) {
             sendToRouter(reply);
--- a/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
@@ -37,6 +37,8 @@
 
     /** Names what has happened in a stop, for the log. */
     enum Step {
+        ASKED,
+        ASKED_AGAIN,
         ROUTER_ASKED,
         OPEN_REQUESTS_ENDED,
         ROUTER_STOPPED,
@@ -84,13 +86,18 @@
     }
 
     /**
-     * Begins the stop; called once, on the event loop.
+     * Begins the stop, unless it has begun; called on the event loop.
      *
      * @param newAskedMillis when the stop was asked for, from which the grace period counts
      */
     void begin(long newAskedMillis) {
+        if (begun) {
+            note(Step.ASKED_AGAIN);
+            return;
+        }
         begun = true;
         askedMillis = newAskedMillis;
+        note(Step.ASKED);
         runAt(BALANCER_REMOVAL_MILLIS, this::stopRouter);
         runAt(graceMillis - LAST_APPENDS_MILLIS, this::endRouter);
         runAt(
