Take a process's first contact with the registry for no outage

Cause: a withdrawal is believed only 2.3 s after the registry's last outage, since entries expire in one. A new process holds the registry for unreachable, so its first read counted as the end of an outage.

Change: only a read that failed begins an outage. A process that starts while the registry is away still waits. Evidence: RegistryUpdatesTest.theFirstContactOfAProcessWithTheRegistryIsNoOutage failed before and passes; the other tests of the registry pass unchanged.

--- a/core/src/main/java/org/bramleylatch/core/RegistryUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/RegistryUpdates.java
@@ -41,9 +41,9 @@
         return true;
     }
 
-    /** Records whether the registry is reachable, and when it last became so. */
+    /** Records whether the registry is reachable, and when its last outage ended. */
     boolean applyReachability(RouterInput.RegistryReachabilityReported reported) {
-        if (reported.reachable() && !world.isRegistryReachable()) {
+        if (reported.reachable() && world.isRegistryAway()) {
             world.setRegistryRecoveredMillis(nowMillis);
         }
         if (reported.reachable() != world.isRegistryReachable()) {
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -48,6 +48,7 @@
     private long nextMoveReportMillis;
     private long nextLimitReportMillis;
     private boolean registryReachable;
+    private boolean registryAway;
     private long registryRecoveredMillis;
 
     private RouterWorld(Incarnation self, Zone zone, Supplier<AttemptId> attemptIds) {
@@ -263,8 +264,14 @@
         return registryReachable;
     }
 
+    /** Returns true if the registry could not be read last; false before the first attempt. */
+    boolean isRegistryAway() {
+        return registryAway;
+    }
+
     void setRegistryReachable(boolean reachable) {
         registryReachable = reachable;
+        registryAway = !reachable;
     }
 
     long registryRecoveredMillis() {
--- a/core/src/test/java/org/bramleylatch/core/RegistryUpdatesTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RegistryUpdatesTest.java
@@ -38,6 +38,15 @@
         assertThat(router.world.endpoints().has(ENGINE)).isFalse();
     }
 
+    /** Guards against requests that a VM which has just started sends to endpoints that left. */
+    @Test
+    void theFirstContactOfAProcessWithTheRegistryIsNoOutage() {
+        router.receive(new RouterInput.RegistryReachabilityReported(true));
+        router.receive(new RouterInput.EndpointAnnounced(RouterHarness.endpoint("engine-1")));
+        router.receive(new RouterInput.EndpointWithdrawn(ENGINE));
+        assertThat(router.world.endpoints().has(ENGINE)).isFalse();
+    }
+
     @Test
     void anEndpointThatIsReplacedAtItsAddressIsRemoved() {
         announceEndpoint();
