Listen for callers last, once nothing of a start can fail any more

What callers saw: a gateway opened the callers' port first. If it could not take the port for readiness checks or for peers, it ended, and requests that were sent meanwhile ended without an answer. Change: the ports for peers, for readiness checks and for callers are opened in this order.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayServers.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayServers.java
@@ -6,8 +6,9 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
-import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.bramleylatch.edge.HttpServers;
@@ -22,7 +23,13 @@
 
     private final Vertx vertx;
     private final PrometheusRegistry metricsRegistry;
-    private final List<Integer> ports = new ArrayList<>();
+    private final Map<Server, Integer> ports = new EnumMap<>(Server.class);
+
+    private enum Server {
+        CALLERS,
+        READINESS,
+        PEERS
+    }
 
     GatewayServers(Vertx vertx, PrometheusRegistry metricsRegistry) {
         this.vertx = vertx;
@@ -30,7 +37,8 @@
     }
 
     /**
-     * Starts the three servers.
+     * Starts the three servers. The one for callers is the last one, so that no caller is connected
+     * to a process that can't start.
      *
      * @return completes once all listen; fails with PORT_IN_USE if another process has a port
      */
@@ -39,14 +47,16 @@
             CallerServer callerServer,
             RouterConnections routerConnections,
             BooleanSupplier isReady) {
-        return note(HttpServers.listenHttp1(
-                        vertx,
-                        boot.callerAddress(),
-                        callerServer::handleConnection,
-                        callerServer::handleRequest))
+        return note(
+                        Server.PEERS,
+                        HttpServers.listen(
+                                vertx,
+                                boot.internalAddress(),
+                                internalHandler(routerConnections, isReady)))
                 .thenCompose(
                         done ->
                                 note(
+                                        Server.READINESS,
                                         HttpServers.listenHttp1(
                                                 vertx,
                                                 boot.readinessAddress(),
@@ -55,17 +65,19 @@
                 .thenCompose(
                         done ->
                                 note(
-                                        HttpServers.listen(
+                                        Server.CALLERS,
+                                        HttpServers.listenHttp1(
                                                 vertx,
-                                                boot.internalAddress(),
-                                                internalHandler(routerConnections, isReady))));
+                                                boot.callerAddress(),
+                                                callerServer::handleConnection,
+                                                callerServer::handleRequest)));
     }
 
     /**
      * Returns the ports for callers, for readiness checks and for peers and metrics, in this order.
      */
     List<Integer> ports() {
-        return List.copyOf(ports);
+        return List.copyOf(ports.values());
     }
 
     private Router readinessRoutes(BooleanSupplier isReady) {
@@ -95,7 +107,7 @@
         };
     }
 
-    private CompletableFuture<Void> note(CompletableFuture<HttpServer> server) {
-        return server.thenAccept(listening -> ports.add(listening.actualPort()));
+    private CompletableFuture<Void> note(Server name, CompletableFuture<HttpServer> server) {
+        return server.thenAccept(listening -> ports.put(name, listening.actualPort()));
     }
 }
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -60,15 +60,20 @@
 
     /** Starts the gateway and its store, without a configuration. */
     void start() throws Exception {
-        store = LoopbackStore.start(vertx).join();
         Address anyPort = new Address(LOOPBACK, 0);
+        start(anyPort, anyPort, anyPort);
+    }
+
+    /** Starts the gateway at the addresses for callers, readiness checks and peers. */
+    void start(Address callers, Address readiness, Address peers) throws Exception {
+        store = LoopbackStore.start(vertx).join();
         BootFile boot =
                 new BootFile(
                         "front-1",
                         Zone.of("langnau"),
-                        anyPort,
-                        anyPort,
-                        anyPort,
+                        callers,
+                        readiness,
+                        peers,
                         store.address(),
                         300_000,
                         new PlatformLimits(8_000, 200, 56, 10_000, 750));
