Count the grace of a gateway's stop from the signal also while it starts

What callers saw: a SIGTERM that met a gateway between its first port and the end of its start was remembered, but the grace period counted only from the end of the start, so that on a slow VM the platform could kill it with requests open. Its handlers were installed after the start had begun, and each further SIGTERM asked for an exit of its own, the last one first. Change: the handlers of signals are installed before anything listens; they pass on when the signal came; the exit follows one future, however many signals arrive. Evidence: LateInGraceTest on code that counts from the end of the start, where the stop is 3.2 s old: LateInGraceTest.aStopThatWasAskedForWhileTheGatewayStartedEndsItsRequestsInTheRestOfTheGrace:66 » Timeout Tests run: 2, Failures: 0, Errors: 1, Skipped: 0 After: Tests run: 2, Failures: 0, Errors: 0, Skipped: 0.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -241,12 +241,26 @@
      * @return completes once this is done, but no later than shortly before the end of the
      *     platform's grace period
      */
-    public CompletableFuture<Void> stop() {
-        long askedMillis = clock.millis();
+    CompletableFuture<Void> stop() {
+        return stop(clock.millis());
+    }
+
+    /**
+     * Stops the daemon as {@link #stop()} does.
+     *
+     * @param askedMillis when the stop was asked for, from which the grace period counts; may lie
+     *     before the daemon was started
+     */
+    CompletableFuture<Void> stop(long askedMillis) {
         context.runOnContext(ignored -> beginStop(askedMillis));
         return plannedStop.whenStopped();
     }
 
+    /** Returns a future that completes once a planned stop is done. */
+    CompletableFuture<Void> whenStopped() {
+        return plannedStop.whenStopped();
+    }
+
     /**
      * Closes all connections and timers at once, as the end of the process would.
      *
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -3,10 +3,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.atomic.AtomicReference;
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.edge.Build;
 import org.bramleylatch.edge.MonotonicClock;
@@ -95,23 +93,35 @@
 
     /**
      * Installs the handler of SIGHUP first, as the signal ends a process that has none, and the
-     * ones of the signals that stop the process before callers are served.
+     * ones of the signals that stop the process before anything of it can be reached.
      */
     private void start() {
-        AtomicReference<Optional<GatewayDaemon>> started = new AtomicReference<>(Optional.empty());
-        Signals.on("HUP", () -> started.get().ifPresent(GatewayDaemon::recordBootFileChange));
-        CompletableFuture<GatewayDaemon> starting =
-                GatewayDaemon.start(
-                        MonotonicClock.system(),
-                        BootFile.read(boot),
-                        GatewaySettings.read(settings));
-        STOP_SIGNALS.forEach(name -> Signals.on(name, () -> stopOnceStarted(starting)));
-        started.set(Optional.of(starting.join()));
+        MonotonicClock clock = MonotonicClock.system();
+        CompletableFuture<GatewayDaemon> starting = new CompletableFuture<>();
+        Signals.on("HUP", () -> starting.thenAccept(GatewayDaemon::recordBootFileChange));
+        BootFile bootFile = BootFile.read(boot);
+        GatewaySettings gatewaySettings = GatewaySettings.read(settings);
+        STOP_SIGNALS.forEach(name -> Signals.on(name, () -> stopOnceStarted(starting, clock)));
+        starting.thenCompose(GatewayMain::closeOnceStopped)
+                .thenRun(() -> ProcessExit.now(ProcessExit.STOPPED_BY_SIGNAL));
+        GatewayDaemon.start(clock, bootFile, gatewaySettings)
+                .thenAccept(starting::complete)
+                .exceptionally(
+                        failure -> {
+                            starting.completeExceptionally(failure);
+                            return null;
+                        });
+        starting.join();
     }
 
     /** Stops a daemon that may still start; {@link #main} reports why one did not start. */
-    private static void stopOnceStarted(CompletableFuture<GatewayDaemon> starting) {
-        starting.thenCompose(daemon -> daemon.stop().thenCompose(stopped -> daemon.close()))
-                .thenRun(() -> ProcessExit.now(ProcessExit.STOPPED_BY_SIGNAL));
+    private static void stopOnceStarted(
+            CompletableFuture<GatewayDaemon> starting, MonotonicClock clock) {
+        long askedMillis = clock.millis();
+        starting.thenAccept(daemon -> daemon.stop(askedMillis));
+    }
+
+    private static CompletableFuture<Void> closeOnceStopped(GatewayDaemon daemon) {
+        return daemon.whenStopped().thenCompose(stopped -> daemon.close());
     }
 }
