End the router, keeper and admin daemons after their last connection is closed

What callers saw: a daemon that was stopped went on listening while the JVM exited, for some 350 ms in which nothing was read: whole requests were sent, and their connections ended without an answer. Change: the signals are handled by the daemon; it stops, takes no more connections, closes the open ones once their requests are answered, and then ends the process at once with status 143, as before. The page of the class said 0.

--- a/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
+++ b/admin/src/main/java/org/bramleylatch/admin/AdminDaemon.java
@@ -4,6 +4,7 @@
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
 import io.vertx.ext.web.Router;
 import java.time.InstantSource;
 import java.util.HashMap;
@@ -88,11 +89,10 @@
         MonitoringHandlers.mount(web, new PrometheusRegistry(), ledgerStream::isCaughtUp);
         new AdminApi(settings.adminKeys(), this::propose, loop.world(), sections, timeline::write)
                 .mount(web);
-        return HttpServers.listen(vertx, settings.listen(), web)
-                .thenApply(server -> startFollowing());
+        return HttpServers.listen(vertx, settings.listen(), web).thenApply(this::startFollowing);
     }
 
-    private Daemon.Running startFollowing() {
+    private Daemon.Running startFollowing(HttpServer server) {
         timeline.write(Event.of(EventKind.PROCESS_STARTED, self, "zone=" + settings.zone()));
         Cancellable ledgerSubscription = ledgerStream.follow(vertx, settings.keepers());
         Cancellable sectionsSubscription = sections.follow();
@@ -101,7 +101,7 @@
             sectionsSubscription.cancel();
             timeline.write(Event.of(EventKind.PROCESS_STOPPED, self, "planned"));
             timeline.flush();
-            return CompletableFuture.completedFuture(null);
+            return HttpServers.close(server);
         };
     }
 
--- a/edge/src/main/java/org/bramleylatch/edge/Daemon.java
+++ b/edge/src/main/java/org/bramleylatch/edge/Daemon.java
@@ -4,8 +4,9 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
@@ -17,11 +18,12 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Starts a daemon from its command line and stops it on SIGTERM. Exit codes: 0 after a planned
- * stop, --help or --version, 1 if it could not start, 2 if the command line is invalid.
+ * Starts a daemon from its command line and stops it on SIGTERM. Exit codes: 143 after a planned
+ * stop, 0 after --help or --version, 1 if it could not start, 2 if the command line is invalid.
  */
 public final class Daemon {
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
+    private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
     private static final int EXIT_OK = 0;
     private static final int EXIT_START_FAILED = 1;
     private static final int EXIT_WRONG_USAGE = 2;
@@ -48,7 +50,7 @@
     public void main(String[] arguments) {
         int exitCode = run(arguments);
         if (exitCode != EXIT_OK) {
-            System.exit(exitCode);
+            ProcessExit.now(exitCode);
         }
     }
 
@@ -81,8 +83,13 @@
             Settings settings =
                     Settings.parse(
                             parsedArguments.settingsFile, readFile(parsedArguments.settingsFile));
-            Running running = starter.apply(settings).join();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running)));
+            CompletableFuture<Running> starting = new CompletableFuture<>();
+            CompletableFuture<Void> stopAsked = new CompletableFuture<>();
+            STOP_SIGNALS.forEach(signal -> Signals.on(signal, () -> stopAsked.complete(null)));
+            starting.thenCombine(stopAsked, (running, asked) -> running)
+                    .thenCompose(Running::stop)
+                    .whenComplete((stopped, failure) -> exit(Optional.ofNullable(failure)));
+            starting.complete(starter.apply(settings).join());
             LOG.info("{} listens on {}", name, settings.listen());
             return EXIT_OK;
         } catch (RuntimeException failure) {
@@ -92,15 +99,11 @@
         }
     }
 
-    private void stop(Running running) {
-        CountDownLatch done = new CountDownLatch(1);
-        running.stop().whenComplete((nothing, failure) -> done.countDown());
-        try {
-            done.await();
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
-        LOG.info("{} stopped", name);
+    private void exit(Optional<Throwable> failure) {
+        failure.ifPresentOrElse(
+                cause -> LOG.error("{} could not stop in order", name, cause),
+                () -> LOG.info("{} stopped", name));
+        ProcessExit.now(ProcessExit.STOPPED_BY_SIGNAL);
     }
 
     private int printUsage(CmdLineParser parser, PrintStream out, int exitCode) {
--- a/edge/src/main/java/org/bramleylatch/edge/HttpServers.java
+++ b/edge/src/main/java/org/bramleylatch/edge/HttpServers.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.net.BindException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.ResultException;
 import org.bramleylatch.wire.Address;
@@ -23,6 +24,9 @@
      */
     private static final int MAX_HEADER_BYTES = 64 * 1024;
 
+    /** Ends the wait for connections that never end, such as those of peers. */
+    private static final long SHUTDOWN_MILLIS = 1_000;
+
     private HttpServers() {}
 
     /**
@@ -55,6 +59,18 @@
                         .requestHandler(handler));
     }
 
+    /**
+     * Takes no more connections, and closes each open one once its requests are answered, the ones
+     * that are left after a second.
+     *
+     * @return completes once no connection is open
+     */
+    public static CompletableFuture<Void> close(HttpServer server) {
+        return server.shutdown(SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
     private static CompletableFuture<HttpServer> listen(Address address, HttpServer server) {
         return server.listen()
                 .toCompletionStage()
--- a/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/KeeperDaemon.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 import java.time.InstantSource;
@@ -105,24 +106,25 @@
                 .handler(call -> call.response().end(Json.write(loop.world().ledger().snapshot())));
         return HttpServers.listen(
                         vertx, settings.listen(), request -> dispatch(request, httpRoutes))
-                .thenApply(server -> startStreams());
+                .thenApply(this::startStreams);
     }
 
-    private Daemon.Running startStreams() {
+    private Daemon.Running startStreams(HttpServer server) {
         timeline.write(Event.of(EventKind.PROCESS_STARTED, self, "zone=" + settings.zone()));
         Cancellable logSubscription = ledgerStream.follow(vertx, settings.keepers());
         usageClient.start();
-        return () -> stop(logSubscription);
+        return () -> stop(server, logSubscription);
     }
 
-    private CompletableFuture<Void> stop(Cancellable logSubscription) {
+    private CompletableFuture<Void> stop(HttpServer server, Cancellable logSubscription) {
         loop.offer(new KeeperInput.StopAsked());
         return stopped.thenRun(logSubscription::cancel)
                 .thenRun(
                         () -> {
                             timeline.write(Event.of(EventKind.PROCESS_STOPPED, self, "planned"));
                             timeline.flush();
-                        });
+                        })
+                .thenCompose(done -> HttpServers.close(server));
     }
 
     private void dispatch(HttpServerRequest request, Router httpRoutes) {
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -4,6 +4,7 @@
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
 import io.vertx.ext.web.Router;
 import java.time.InstantSource;
 import java.util.Optional;
@@ -101,10 +102,10 @@
         MonitoringHandlers.mount(httpRoutes, registry, this::isReady);
         callerServer.mount(httpRoutes);
         return HttpServers.listen(vertx, settings.listen(), httpRoutes)
-                .thenApply(server -> completeStart());
+                .thenApply(this::completeStart);
     }
 
-    private Daemon.Running completeStart() {
+    private Daemon.Running completeStart(HttpServer server) {
         timeline.write(Event.of(EventKind.PROCESS_STARTED, self, "zone=" + settings.zone()));
         Cancellable configSubscription =
                 configStream.follow(
@@ -112,17 +113,18 @@
                         result -> {});
         endpointClient.startPolling();
         settings.keepers().forEach(keeperConnections::connect);
-        return () -> stop(configSubscription);
+        return () -> stop(server, configSubscription);
     }
 
-    private CompletableFuture<Void> stop(Cancellable configSubscription) {
+    private CompletableFuture<Void> stop(HttpServer server, Cancellable configSubscription) {
         loop.offer(new RouterInput.StopAsked());
         return stopped.thenRun(configSubscription::cancel)
                 .thenRun(
                         () -> {
                             timeline.write(Event.of(EventKind.PROCESS_STOPPED, self, "planned"));
                             timeline.flush();
-                        });
+                        })
+                .thenCompose(done -> HttpServers.close(server));
     }
 
     private boolean isReady() {
