--- a/proof/src/test/java/org/bramleylatch/proof/EarlyStopTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/EarlyStopTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import java.net.Socket;
 import java.nio.file.Path;
+import org.bramleylatch.edge.ProcessExit;
 import org.bramleylatch.platform.LoopbackStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -50,5 +51,7 @@
         process.retire();
         assertThat(caller.findLostUntil(process::hasEnded)).isEmpty();
         assertThat(world.findings()).isEmpty();
+        assertThat(world.processes().find(1).orElseThrow().process().exitValue())
+                .isEqualTo(ProcessExit.STOPPED_BY_SIGNAL);
     }
 }
