End a gateway whose event loop has ended by an error

What callers saw: an error outside of all handlers, such as an exhausted heap while the selector runs, ends the event loop but neither the process nor its connections: requests are accepted by the system and never read. Tasks and handlers are guarded by the runtime; its input and output are not, for errors. What starts the exit in GatewayMain was not run: no error of this kind can be caused from outside of the process.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -29,6 +29,7 @@
 import org.bramleylatch.core.RouterSystems;
 import org.bramleylatch.core.RouterWorld;
 import org.bramleylatch.core.VmRow;
+import org.bramleylatch.edge.EventLoopEnd;
 import org.bramleylatch.edge.FailureLog;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
@@ -261,6 +262,22 @@
         return plannedStop.whenStopped();
     }
 
+    /**
+     * Returns a future that completes if the event loop ends before a planned stop is done, after
+     * which no request can be answered.
+     */
+    CompletableFuture<Void> whenFailed() {
+        CompletableFuture<Void> failed = new CompletableFuture<>();
+        EventLoopEnd.of(context)
+                .thenRun(
+                        () -> {
+                            if (!plannedStop.whenStopped().isDone()) {
+                                failed.complete(null);
+                            }
+                        });
+        return failed;
+    }
+
     /**
      * Closes all connections and timers at once, as the end of the process would.
      *
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -104,6 +104,7 @@
         STOP_SIGNALS.forEach(name -> Signals.on(name, () -> stopOnceStarted(starting, clock)));
         starting.thenCompose(GatewayMain::closeOnceStopped)
                 .thenRun(() -> ProcessExit.now(ProcessExit.STOPPED_BY_SIGNAL));
+        starting.thenCompose(GatewayDaemon::whenFailed).thenRun(GatewayMain::exitOnFailure);
         GatewayDaemon.start(clock, bootFile, gatewaySettings)
                 .thenAccept(starting::complete)
                 .exceptionally(
@@ -121,6 +122,11 @@
         starting.thenAccept(daemon -> daemon.stop(askedMillis));
     }
 
+    private static void exitOnFailure() {
+        System.err.println(NAME + ": the event loop has ended");
+        ProcessExit.now(EXIT_FAILED);
+    }
+
     private static CompletableFuture<Void> closeOnceStopped(GatewayDaemon daemon) {
         return daemon.whenStopped().thenCompose(stopped -> daemon.close());
     }
