--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -7,29 +7,22 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.Dispatch;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
-import org.bramleylatch.core.GrantPolicy;
 import org.bramleylatch.core.Incarnation;
 import org.bramleylatch.core.KeeperInput;
-import org.bramleylatch.core.KeeperLimits;
 import org.bramleylatch.core.KeeperOutput;
-import org.bramleylatch.core.KeeperSystems;
 import org.bramleylatch.core.KeeperWorld;
 import org.bramleylatch.core.MessageHandlers;
-import org.bramleylatch.core.Placement;
 import org.bramleylatch.core.RequestRow;
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterOutput;
-import org.bramleylatch.core.RouterSystems;
 import org.bramleylatch.core.RouterWorld;
 import org.bramleylatch.core.VmRow;
-import org.bramleylatch.edge.FailureLog;
+import org.bramleylatch.edge.EventLoopEnd;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
 import org.bramleylatch.edge.KeeperMessageTranslation;
@@ -90,8 +83,9 @@
         this.keeper = RandomIds.newIncarnation("keeper", boot.vm());
         this.router = RandomIds.newIncarnation("router", boot.vm());
         this.replyTranslation = KeeperMessageTranslation.of(keeper);
-        this.routerLoop = routerLoop();
-        this.keeperLoop = keeperLoop();
+        GatewayLoops loops = new GatewayLoops(vertx, context, clock, boot, settings);
+        this.routerLoop = loops.router(router, this::handleRouterOutput);
+        this.keeperLoop = loops.keeper(keeper, this::handleKeeperOutput);
         this.loopLag = new LoopLag(clock, lagMonitor());
         this.store = new StoreClient(vertx, boot.storeAddress(), clock);
         this.configurationReceiver =
@@ -118,37 +112,6 @@
         this.keeperHandlers = keeperHandlers();
     }
 
-    private TickLoop<RouterInput, RouterOutput, RouterWorld> routerLoop() {
-        return new TickLoop<>(
-                vertx,
-                context,
-                clock,
-                RouterWorld.of(router, boot.zone(), () -> AttemptId.of(RandomIds.hexId())),
-                RouterSystems.schedule(
-                        Placement.bySharedPrefix(),
-                        RetryShare.routerLimits(boot.limits()),
-                        FailureLog.handler()),
-                output -> this.routerHandlers.accept(output),
-                (output, detail) -> Optional.of(new RouterInput.OutputFailed(output, detail)));
-    }
-
-    private TickLoop<KeeperInput, KeeperOutput, KeeperWorld> keeperLoop() {
-        GrantPolicy policy =
-                GrantPolicy.byShortTermDemand(
-                        settings.grantHorizonMillis(), settings.smallestGrantTokens());
-        return new TickLoop<>(
-                vertx,
-                context,
-                clock,
-                KeeperWorld.of(keeper),
-                KeeperSystems.schedule(
-                        policy,
-                        KeeperLimits.colocatedWithRouter(boot.logRetentionMillis()),
-                        FailureLog.handler()),
-                this::handleOutput,
-                (output, detail) -> Optional.empty());
-    }
-
     private LagMonitor lagMonitor() {
         return new LagMonitor(metricsRegistry, routerLoop.world(), this::recordEvent);
     }
@@ -241,12 +204,42 @@
      * @return completes once this is done, but no later than shortly before the end of the
      *     platform's grace period
      */
-    public CompletableFuture<Void> stop() {
-        long askedMillis = clock.millis();
+    CompletableFuture<Void> stop() {
+        return stop(clock.millis());
+    }
+
+    /**
+     * Stops the daemon as {@link #stop()} does.
+     *
+     * @param askedMillis when the stop was asked for, from which the grace period counts; may lie
+     *     before the daemon was started
+     */
+    CompletableFuture<Void> stop(long askedMillis) {
         context.runOnContext(ignored -> plannedStop.begin(askedMillis));
         return plannedStop.whenStopped();
     }
 
+    /** Returns a future that completes once a planned stop is done. */
+    CompletableFuture<Void> whenStopped() {
+        return plannedStop.whenStopped();
+    }
+
+    /**
+     * Returns a future that completes if the event loop ends before a planned stop is done, after
+     * which no request can be answered.
+     */
+    CompletableFuture<Void> whenFailed() {
+        CompletableFuture<Void> failed = new CompletableFuture<>();
+        EventLoopEnd.of(context)
+                .thenRun(
+                        () -> {
+                            if (!plannedStop.whenStopped().isDone()) {
+                                failed.complete(null);
+                            }
+                        });
+        return failed;
+    }
+
     /**
      * Closes all connections and timers at once, as the end of the process would.
      *
@@ -332,7 +325,11 @@
         return plannedStop.hasBegun();
     }
 
-    private void handleOutput(KeeperOutput output) {
+    private void handleRouterOutput(RouterOutput output) {
+        routerHandlers.accept(output);
+    }
+
+    private void handleKeeperOutput(KeeperOutput output) {
         if (output instanceof KeeperOutput.ToRouter reply) {
             sendToRouter(reply);
         } else {
