Require a key by what the document says of the route

Callers with a key that was taken away, or that never existed, were served once no tenant had a key left: the right to pass was inferred from an empty table of keys (Configuration.hasMembers). A present field that is empty, or tenants without keys, refuse with the code of an unknown key.

--- a/core/src/main/java/org/bramleylatch/core/CallResolver.java
+++ b/core/src/main/java/org/bramleylatch/core/CallResolver.java
@@ -17,9 +17,7 @@
             return refuse(call, ResultCode.UNKNOWN_ROUTE);
         }
         Optional<MemberRow> member = call.keySha256().flatMap(configuration::member);
-        if (member.isEmpty()
-                && !route.get().options().allowsAnonymous()
-                && configuration.hasMembers()) {
+        if (member.isEmpty() && !route.get().options().allowsAnonymous()) {
             return refuse(call, ResultCode.UNAUTHENTICATED);
         }
         Optional<ResultCode> lateness =
--- a/core/src/main/java/org/bramleylatch/core/Configuration.java
+++ b/core/src/main/java/org/bramleylatch/core/Configuration.java
@@ -27,11 +27,6 @@
         return revision >= 0;
     }
 
-    /** Returns true if any API key is configured, so that calls can be authenticated. */
-    public boolean hasMembers() {
-        return !members.isEmpty();
-    }
-
     /**
      * Selects among the routes of a host the one whose selector is the longest prefix of the path.
      *
--- a/core/src/test/java/org/bramleylatch/core/CallResolverTest.java
+++ b/core/src/test/java/org/bramleylatch/core/CallResolverTest.java
@@ -48,6 +48,20 @@
                 .containsExactly(ResultCode.UNAUTHENTICATED, ResultCode.UNAUTHENTICATED);
     }
 
+    /** Guards against a fleet that is open to all callers once the last key is taken away. */
+    @Test
+    void aCallIsRefusedAsWithAnUnknownKeyOnceNoMemberHasAKey() {
+        configure(route("orders", "/orders/", "ordnerei", true));
+        router.endpoints("ordnerei-1");
+        router.receive(
+                new RouterInput.ConfigurationReceived(
+                        new Configuration(8, List.of(), router.world.configuration().routes())));
+        router.call(HOST, "/orders/7", API_KEY_DIGEST, 0, 0);
+        router.call(HOST, "/orders/7", Optional.empty(), 0, 0);
+        assertThat(refusals())
+                .containsExactly(ResultCode.UNAUTHENTICATED, ResultCode.UNAUTHENTICATED);
+    }
+
     @Test
     void anOlderConfigurationDoesNotReplaceANewerOne() {
         configure(route("orders", "/orders/", "ordnerei", true));
