Keep what an order found of a version beyond the next order

Callers got the failures of a version that had just been rolled back: a router remembered one order a back end, so that by the next order the bad version counted as an old one and got most requests until its servers left. Each router now has a row for each version that an order named, from the orders and from the moves that the ledger keeps (so over a restart too). Such a version serves beside a target only once its own move is done; a move is proposed from a version that may serve, not from a bad one with more endpoints.

--- a/core/src/main/java/org/bramleylatch/core/Candidates.java
+++ b/core/src/main/java/org/bramleylatch/core/Candidates.java
@@ -39,7 +39,7 @@
                         moveRow ->
                                 acceptingEndpoints(
                                         row,
-                                        isOldVersion(moveRow.move().spec()),
+                                        isOldVersion(row, moveRow.move().spec()),
                                         row.failedEndpoints()))
                 .orElse(List.of());
     }
@@ -64,28 +64,23 @@
     /**
      * Returns which versions may serve the request. During a move, retries go to the old version;
      * until an order's move has begun, its target gets nothing. Once a move is done and its target
-     * has been replaced in turn, any version may serve.
+     * has been replaced in turn, any version may serve but those that an order has not proved.
      */
     private Predicate<Version> versionFilter(RequestRow row) {
         Optional<RouterMoveRow> moveRow = world.moveOf(row.spec());
         if (moveRow.isEmpty()) {
-            Optional<Version> unproved =
-                    world.rollouts()
-                            .find(row.spec().backEnd())
-                            .map(order -> order.order().target());
             Optional<Version> chosen = row.spec().version();
-            return version ->
-                    unproved.filter(version::equals).isEmpty()
-                            && chosen.filter(wanted -> !wanted.equals(version)).isEmpty();
+            return mayServe(row)
+                    .and(version -> chosen.filter(wanted -> !wanted.equals(version)).isEmpty());
         }
         MoveSpec spec = moveRow.get().move().spec();
         boolean isRetry = row.attemptCount() > 0 && moveRow.get().move().isRunning();
         if (moveRow.get().move().state() == MoveRow.State.DONE && !isListed(row, spec.to())) {
-            return version -> true;
+            return mayServe(row);
         }
         boolean goesToNew =
                 !isRetry && moveRow.get().versionFor(row.spec().key()).equals(spec.to());
-        return goesToNew ? spec.to()::equals : isOldVersion(spec);
+        return goesToNew ? spec.to()::equals : isOldVersion(row, spec);
     }
 
     private boolean isListed(RequestRow row, Version version) {
@@ -97,10 +92,14 @@
                                         && endpoint.version().equals(version));
     }
 
-    /** An order names only its target, so that every other version is an old one. */
-    private static Predicate<Version> isOldVersion(MoveSpec spec) {
+    /** An order names only its target, so that every other version that may serve is an old one. */
+    private Predicate<Version> isOldVersion(RequestRow row, MoveSpec spec) {
         return spec.route().isOrdered()
-                ? version -> !version.equals(spec.to())
+                ? mayServe(row).and(version -> !version.equals(spec.to()))
                 : spec.from()::equals;
     }
+
+    private Predicate<Version> mayServe(RequestRow row) {
+        return new OrderedVersions(world).mayServe(row.spec().backEnd());
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -106,6 +106,7 @@
                         .map(row -> row.withMove(changed.move()))
                         .orElseGet(() -> RouterMoveRow.of(changed.move()));
         world.moves().put(route, after);
+        new OrderedVersions(world).recordMove(after.move());
         return true;
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RolloutSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RolloutSystem.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -41,6 +42,7 @@
                         .isEmpty();
         if (isNewer) {
             world.rollouts().put(order.backEnd(), RolloutRow.of(order, nowMillis));
+            new OrderedVersions(world).recordOrder(order);
             world.note(
                     EventKind.ROLLOUT_ORDERED,
                     order.moveName(),
@@ -83,15 +85,26 @@
         }
     }
 
-    /** Returns the version that most endpoints of the back end have beside the target. */
+    /**
+     * Returns the version that most endpoints of the back end have beside the target. A version
+     * that may not serve is taken only if there is no other, so that the order can begin.
+     */
     private static Optional<Version> currentVersion(RouterWorld world, RolloutOrder order) {
+        Predicate<Version> mayServe = new OrderedVersions(world).mayServe(order.backEnd());
+        return mostFrequentVersion(world, order, mayServe)
+                .or(() -> mostFrequentVersion(world, order, version -> true));
+    }
+
+    private static Optional<Version> mostFrequentVersion(
+            RouterWorld world, RolloutOrder order, Predicate<Version> condition) {
         Map<Version, Long> counts =
                 world
                         .endpoints()
                         .where(
                                 row ->
                                         row.backEnd().equals(order.backEnd())
-                                                && !row.version().equals(order.target()))
+                                                && !row.version().equals(order.target())
+                                                && condition.test(row.version()))
                         .stream()
                         .map(EndpointRow::version)
                         .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -25,6 +25,7 @@
     private final Table<RequestId, List<Incarnation>> remainingLenders = Table.empty();
     private final Table<GrantKey, Long> lenderBackoffUntilMillis = Table.empty();
     private final Table<String, RolloutRow> rollouts = Table.empty();
+    private final Table<OrderedVersionRow.Key, OrderedVersionRow> orderedVersions = Table.empty();
     private final Table<EndpointId, RateLimitRow> rateLimits = Table.empty();
     private final Table<EndpointId, EndpointLimit> ownLimits = Table.empty();
     private final Table<DemandSource, Double> demands = Table.empty();
@@ -149,6 +150,11 @@
         return rollouts;
     }
 
+    /** Returns what is known of each version that an order has named. */
+    Table<OrderedVersionRow.Key, OrderedVersionRow> orderedVersions() {
+        return orderedVersions;
+    }
+
     /** Returns the latest move of the request's route, or else of its back end. */
     Optional<RouterMoveRow> moveOf(RequestSpec spec) {
         return moves.find(spec.route().name())
