Connect to no keeper once the gateway closes its connections

Cause: since the stop ends the runtime's threads, the client is closed while the timer still runs. The timer connects no more once the close has begun.

--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -247,6 +247,7 @@
      */
     CompletableFuture<Void> close() {
         closing = true;
+        keeperConnections.beginClose();
         return vertx.close().toCompletionStage().toCompletableFuture();
     }
 
