Remove a withdrawn endpoint's row after its last request

An endpoint that left the registry while it ran requests stayed in the router's table for good, as leaving: nothing looked at it again once its last request had ended, and a done roll-out whose target had left counted as still listed. The row now says that it was withdrawn, and a system removes such rows once no request of this router runs there; an endpoint that is listed again before that stays. Idle ones go in the tick of their withdrawal, as before.

Failed before: RegistryUpdatesTest.anEndpointThatIsWithdrawnWhileItRunsARequestIsRemovedAfterTheRequest:59, expecting value to be false but was true. Not run: the gateway's tests.

--- a/core/src/main/java/org/bramleylatch/core/Candidates.java
+++ b/core/src/main/java/org/bramleylatch/core/Candidates.java
@@ -89,6 +89,7 @@
                 .anyMatch(
                         endpoint ->
                                 endpoint.backEnd().equals(row.spec().backEnd())
+                                        && !endpoint.leavingSignals().withdrawn()
                                         && endpoint.version().equals(version));
     }
 
--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -36,7 +36,7 @@
 
     /**
      * Applies the platform's list. An endpoint that is not listed any more gets no new work and is
-     * removed if it runs no request.
+     * removed once it runs no request.
      */
     boolean applyListing(EndpointsListed listed) {
         EndpointSubset subset =
@@ -45,7 +45,7 @@
                 subset.select(listed.endpoints()).stream()
                         .collect(Collectors.toMap(EndpointRow::id, Function.identity()));
         List<EndpointRow> known = world.endpoints().where(row -> true);
-        known.stream().filter(row -> !byId.containsKey(row.id())).forEach(this::removeOrDrain);
+        known.stream().filter(row -> !byId.containsKey(row.id())).forEach(this::withdraw);
         byId.values().forEach(this::addOrUpdate);
         return true;
     }
@@ -172,16 +172,8 @@
         world.endpoints().put(listing.id(), merged);
     }
 
-    /** Removes an endpoint, or marks it as leaving while it runs requests of this router. */
-    void removeOrDrain(EndpointRow row) {
-        if (row.load().outstanding() > 0) {
-            world.endpoints()
-                    .put(
-                            row.id(),
-                            row.withLeavingSignals(row.leavingSignals().withListedAsLeaving(true)));
-        } else {
-            world.endpoints().remove(row.id());
-            world.endpointPauses().remove(row.id());
-        }
+    /** Marks an endpoint as withdrawn; it is removed once it runs no request of this router. */
+    void withdraw(EndpointRow row) {
+        world.endpoints().put(row.id(), row.withLeavingSignals(row.leavingSignals().asWithdrawn()));
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RegistryUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/RegistryUpdates.java
@@ -35,7 +35,7 @@
         return true;
     }
 
-    /** Removes an endpoint; one that still runs requests is marked as leaving instead. */
+    /** Withdraws an endpoint; one that still runs requests is removed after the last of them. */
     boolean remove(EndpointId endpoint) {
         world.endpoints().find(endpoint).ifPresent(this::remove);
         return true;
@@ -60,6 +60,6 @@
                 EventKind.ENDPOINT_LEAVING,
                 row.id(),
                 "no longer in the registry, or replaced at its address");
-        new FleetUpdates(world, limits, nowMillis).removeOrDrain(row);
+        new FleetUpdates(world, limits, nowMillis).withdraw(row);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -18,6 +18,7 @@
                 failures,
                 new RouterInboxSystem(limits, failures),
                 new RouterTimerSystem(limits, failures),
+                new WithdrawalSystem(),
                 new QuarantineSystem(),
                 new RateLimitSystem(),
                 new RolloutSystem(),
--- a/core/src/test/java/org/bramleylatch/core/RegistryUpdatesTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RegistryUpdatesTest.java
@@ -45,6 +45,33 @@
         assertThat(router.world.endpoints().has(ENGINE)).isFalse();
     }
 
+    /**
+     * Guards against rows of endpoints that left while they ran requests, which stayed for good.
+     */
+    @Test
+    void anEndpointThatIsWithdrawnWhileItRunsARequestIsRemovedAfterTheRequest() {
+        announceEndpoint();
+        AttemptId running = router.startChat(100, 50);
+        router.receive(new RouterInput.EndpointWithdrawn(ENGINE));
+        assertThat(router.world.endpoints().has(ENGINE)).isTrue();
+        router.receiveToken(running, 0);
+        router.receive(new RouterInput.AnswerEnded(running, 1, "stop"));
+        assertThat(router.world.endpoints().has(ENGINE)).isFalse();
+    }
+
+    /** Guards against an endpoint that is lost as it registers again before its last answer. */
+    @Test
+    void anEndpointThatIsListedAgainBeforeItsLastRequestEndsStays() {
+        announceEndpoint();
+        AttemptId running = router.startChat(100, 50);
+        router.receive(new RouterInput.EndpointWithdrawn(ENGINE));
+        router.receive(new RouterInput.EndpointAnnounced(RouterHarness.endpoint("engine-1")));
+        router.receiveToken(running, 0);
+        router.receive(new RouterInput.AnswerEnded(running, 1, "stop"));
+        router.startChat(100, 50);
+        assertThat(router.outputs(RouterOutput.StartAttempt.class)).hasSize(2);
+    }
+
     private void announceEndpoint() {
         router.receive(new RouterInput.RegistryReachabilityReported(true));
         router.receive(new RouterInput.EndpointAnnounced(RouterHarness.endpoint("engine-1")));
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -180,17 +180,14 @@
 
     /** Marks all endpoints as leaving. */
     void drainEndpoints() {
+        LeavingSignals leaving = LeavingSignals.none().withListedAsLeaving(true);
         routers.keySet()
                 .forEach(
                         vm ->
-                                endpoints.forEach(
-                                        row ->
-                                                receive(
-                                                        vm,
-                                                        new RouterInput.EndpointAnnounced(
-                                                                row.withLeavingSignals(
-                                                                        new LeavingSignals(
-                                                                                true, false))))));
+                                endpoints.stream()
+                                        .map(row -> row.withLeavingSignals(leaving))
+                                        .map(RouterInput.EndpointAnnounced::new)
+                                        .forEach(input -> receive(vm, input)));
     }
 
     void receive(String vm, RouterInput input) {
