Close idle connections of a stopping gateway only after a read

Cause: an interrupted select returns no events and the late timer runs before the next one, so there was no read between the ticks. Change: a tick that is over 100 ms late only times the next one, 1 ms later, after a select.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
@@ -3,7 +3,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
-import java.util.List;
+import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import org.bramleylatch.edge.ListeningSocket;
 
@@ -12,32 +12,34 @@
  * was read since the tick before. Open requests are answered first, by their owners.
  */
 final class CallerDrain {
+    private static final long TICK_MILLIS = 50;
+
     /**
-     * Each tick is timed from the one before, so that the event loop reads from all connections in
-     * between.
+     * Half of the time after which an unanswered request whose connection closes counts as lost. A
+     * timer that is later may run before what arrived meanwhile is read.
      */
-    private static final long TICK_MILLIS = 50;
+    private static final long MAX_LATE_MILLIS = 100;
+
+    /** Lets the event loop read from all connections before the next tick. */
+    private static final long READ_MILLIS = 1;
 
     private final Vertx vertx;
+    private final InstantSource clock;
     private final CallerConnections connections;
     private final ConsecutiveCheck<HttpConnection> idleCheck = new ConsecutiveCheck<>();
-    private final ConsecutiveCheck<CallerConnections> emptyCheck = new ConsecutiveCheck<>();
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
     private boolean listening = true;
+    private boolean wasEmpty;
 
-    CallerDrain(Vertx vertx, CallerConnections connections) {
+    CallerDrain(Vertx vertx, InstantSource clock, CallerConnections connections) {
         this.vertx = vertx;
+        this.clock = clock;
         this.connections = connections;
     }
 
     /** Closes idle connections from now on; called on the event loop. */
     void start() {
-        vertx.setTimer(
-                TICK_MILLIS,
-                ignored -> {
-                    tick();
-                    start();
-                });
+        tickAfter(TICK_MILLIS);
     }
 
     /**
@@ -51,20 +53,31 @@
                 .listeningSocket()
                 .map(ListeningSocket::close)
                 .orElseGet(() -> CompletableFuture.completedFuture(null))
-                .thenRun(() -> context.runOnContext(closed -> listening = false));
+                .thenRun(() -> context.runOnContext(ignored -> listening = false));
         return finished;
     }
 
+    private void tickAfter(long delayMillis) {
+        long dueMillis = clock.millis() + delayMillis;
+        vertx.setTimer(
+                delayMillis,
+                ignored -> {
+                    boolean isLate = clock.millis() - dueMillis > MAX_LATE_MILLIS;
+                    tickAfter(isLate ? READ_MILLIS : TICK_MILLIS);
+                    if (!isLate) {
+                        tick();
+                    }
+                });
+    }
+
     private void tick() {
         idleCheck
                 .findFailing(connections.open(), connection -> !connections.isIdle(connection))
                 .forEach(connections::end);
-        boolean isEmpty =
-                !emptyCheck
-                        .findFailing(List.of(connections), one -> listening || one.count() > 0)
-                        .isEmpty();
-        if (isEmpty) {
+        boolean isEmpty = !listening && connections.count() == 0;
+        if (isEmpty && wasEmpty) {
             finished.complete(null);
         }
+        wasEmpty = isEmpty;
     }
 }
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -136,7 +136,7 @@
     }
 
     private PlannedStop plannedStop() {
-        CallerDrain drain = new CallerDrain(vertx, callerServer.connections());
+        CallerDrain drain = new CallerDrain(vertx, clock, callerServer.connections());
         return new PlannedStop(
                 vertx,
                 clock,
