--- a/proof/src/test/java/org/bramleylatch/proof/StoppingGatewayTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/StoppingGatewayTest.java
@@ -22,7 +22,7 @@
             List.of(
                     System.getProperty(
                                     "stop.variants",
-                                    "leave,stay,starved-leave,starved-stay,signals")
+                                    "leave,stay,starved-leave,starved-stay,signals,frozen-stay")
                             .split(","));
     private static final int CALLERS = 40;
     private static final int MAX_PAUSE_MILLIS = 60;
@@ -31,6 +31,11 @@
     private static final long PERIOD_MILLIS = 100;
     private static final long FROZEN_MILLIS = 75;
 
+    /** Lies between two ticks in which a stopping gateway looks for idle connections. */
+    private static final long DRAIN_MILLIS = 2_580;
+
+    private static final long FREEZE_MILLIS = 400;
+
     static Stream<Stop> stops() {
         String[] range = SEEDS.split("-");
         return LongStream.rangeClosed(
@@ -59,6 +64,9 @@
                         .forEach(at -> add(steps, at, p -> p.freeze(FROZEN_MILLIS)));
             }
             add(steps, STOP_MILLIS, SoakProcess::retire);
+            if (variant.startsWith("frozen")) {
+                add(steps, STOP_MILLIS + DRAIN_MILLIS + seed % 10, p -> p.freeze(FREEZE_MILLIS));
+            }
             if (variant.equals("signals")) {
                 add(steps, STOP_MILLIS + 700, SoakProcess::reload);
                 add(steps, STOP_MILLIS + 1_500, SoakProcess::retire);
