Count only checks of the same phase when an idle connection is closed

What callers saw: on kept connections that they used again after 0.6 to 0.8 of idleTimeoutMs, in a process that is suspended for about a second at a time, whole requests waited unread and their connections were closed 0.6 to 1.8 s later without an answer. Cause: a connection is closed if two checks in a row find it idle for too long. After a suspension a check can run before the socket is read; the connection was then read and answered, and the check after the next suspension counted as the second one, though another phase had begun. Checks are compared by row now, which is replaced with each phase. IdleTwiceTest, before: IdleTwiceTest.aConnectionThatIsUsedBetweenTwoChecksThatFindItIdleForTooLongIsKept:52 [call 2] Expecting actual: "" to start with: "HTTP/1.1 200" After: Tests run: 1, Failures: 0, Errors: 0. CallerTimeoutsTest (5), SlowBodyTest (3) and LongHeadersTest (1) pass.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
@@ -27,7 +27,7 @@
     private final Supplier<CallerLimits> limits;
     private final Consumer<Event> events;
     private final Table<HttpConnection, CallerConnectionRow> rows = Table.empty();
-    private final ConsecutiveCheck<HttpConnection> overdueCheck = new ConsecutiveCheck<>();
+    private final ConsecutiveCheck<CallerConnectionRow> overdueCheck = new ConsecutiveCheck<>();
     private Optional<ListeningSocket> listeningSocket = Optional.empty();
 
     /**
@@ -115,18 +115,13 @@
 
     /**
      * Ends the phases that were overdue at the last check as well: after a pause of the process,
-     * what callers sent meanwhile is read in between.
+     * what callers sent meanwhile is read in between. A phase that began since then is another one.
      */
     void endOverdue() {
         long nowMillis = clock.millis();
         CallerLimits current = limits.get();
         overdueCheck
-                .findFailing(
-                        rows.keys().toList(),
-                        connection ->
-                                rows.find(connection)
-                                        .filter(row -> !row.isOverdue(nowMillis, current))
-                                        .isPresent())
+                .findFailing(rows.rows().toList(), row -> !row.isOverdue(nowMillis, current))
                 .forEach(this::end);
     }
 
