--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -75,6 +75,7 @@
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final PlannedStop plannedStop;
     private final GatewayServers servers;
+    private volatile boolean closing;
 
     private GatewayDaemon(
             Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
@@ -172,13 +173,18 @@
     }
 
     private PlannedStop plannedStop() {
+        CallerDrain drain = new CallerDrain(vertx, callerServer.connections());
         return new PlannedStop(
                 vertx,
+                clock,
                 boot.limits().shutdownGraceMillis(),
-                () -> routerLoop.offer(new RouterInput.StopAsked()),
-                () -> routerLoop.offer(new RouterInput.StopTimeReached()),
-                () -> keeperLoop.offer(new KeeperInput.StopAsked()),
-                callerServer::whenAnswersWritten);
+                new PlannedStop.Actions(
+                        () -> routerLoop.offer(new RouterInput.StopAsked()),
+                        drain::start,
+                        () -> routerLoop.offer(new RouterInput.StopTimeReached()),
+                        () -> keeperLoop.offer(new KeeperInput.StopAsked()),
+                        () -> drain.finish().thenCompose(d -> callerServer.whenAnswersWritten())),
+                this::recordStopStep);
     }
 
     private EndpointClient endpointClient() {
@@ -236,7 +242,8 @@
      *     platform's grace period
      */
     public CompletableFuture<Void> stop() {
-        context.runOnContext(ignored -> beginStop());
+        long askedMillis = clock.millis();
+        context.runOnContext(ignored -> beginStop(askedMillis));
         return plannedStop.whenStopped();
     }
 
@@ -246,6 +253,7 @@
      * @return completes once nothing runs any more
      */
     CompletableFuture<Void> close() {
+        closing = true;
         return vertx.close().toCompletionStage().toCompletableFuture();
     }
 
@@ -259,7 +267,7 @@
     }
 
     private void startOnContext(CompletableFuture<GatewayDaemon> started) {
-        Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
+        Infrastructure.setDefaultExecutor(this::runUnlessClosing);
         loopLag.start(vertx);
         callerServer.start(vertx);
         recordEvent(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
@@ -289,6 +297,13 @@
                 .whenComplete((done, failure) -> completeStart(started, failure));
     }
 
+    /** Timers of the runtime's scheduler may end after the event loop, which then takes no task. */
+    private void runUnlessClosing(Runnable task) {
+        if (!closing) {
+            context.runOnContext(ignored -> task.run());
+        }
+    }
+
     /**
      * Returns the ports for callers, for readiness checks and for peers and metrics, in this order.
      */
@@ -317,9 +332,32 @@
         return plannedStop.hasBegun();
     }
 
-    private void beginStop() {
+    private void recordStopStep(PlannedStop.Step step, long sinceAskedMillis) {
+        recordEvent(
+                Event.of(
+                        EventKind.STOP_STEP,
+                        router,
+                        "step="
+                                + step
+                                + " sinceSignalMillis="
+                                + sinceAskedMillis
+                                + " requests="
+                                + routerLoop.world().requests().size()
+                                + " attempts="
+                                + routerLoop.world().attempts().size()
+                                + " connections="
+                                + callerServer.connections().count()
+                                + " unwrittenAnswers="
+                                + callerServer.unwrittenAnswers()));
+    }
+
+    private void beginStop(long askedMillis) {
+        if (isStopping()) {
+            recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested again"));
+            return;
+        }
         recordEvent(Event.of(EventKind.PROCESS_STOPPED, router, "stop requested, no longer ready"));
-        plannedStop.begin();
+        plannedStop.begin(askedMillis);
     }
 
     private void handleOutput(KeeperOutput output) {
