Share the copies of rows and the refusals in the soak

The two changes of a run and the two refusals of an endpoint repeated the whole constructor; each pair shares one now. What the endpoints send is the same as before: 503 with Retry-After, 421 without.

--- a/proof/src/test/java/org/bramleylatch/proof/SoakAnswer.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakAnswer.java
@@ -74,16 +74,17 @@
 
     /** Returns the refusal of a request that is meant for another endpoint. */
     static SoakAnswer misdirected(Plan plan) {
-        String head = head("421 Misdirected Request", plan, "not-executed: 1\r\n");
-        return new SoakAnswer(
-                "misdirected",
-                false,
-                false,
-                false,
-                0,
-                0,
-                List.of(head + "content-length: 0\r\n\r\n"),
-                Ending.KEEP);
+        return refused("misdirected", "421 Misdirected Request", plan, "");
+    }
+
+    private static SoakAnswer refusal(Plan plan) {
+        return refused("refusal", "503 Busy", plan, "retry-after: 0.1\r\n");
+    }
+
+    private static SoakAnswer refused(String name, String status, Plan plan, String header) {
+        String end = "not-executed: 1\r\n" + header + "content-length: 0\r\n\r\n";
+        List<String> parts = List.of(head(status, plan, end));
+        return new SoakAnswer(name, false, false, false, 0, 0, parts, Ending.KEEP);
     }
 
     private static SoakAnswer sound(String name, Plan plan, long delayMillis, long gapMillis) {
@@ -105,19 +106,6 @@
                 Ending.CLOSE);
     }
 
-    private static SoakAnswer refusal(Plan plan) {
-        String head = head("503 Busy", plan, "not-executed: 1\r\nretry-after: 0.1\r\n");
-        return new SoakAnswer(
-                "refusal",
-                false,
-                false,
-                false,
-                0,
-                0,
-                List.of(head + "content-length: 0\r\n\r\n"),
-                Ending.KEEP);
-    }
-
     private static SoakAnswer earlyAnswer(Plan plan) {
         return new SoakAnswer(
                 "early",
--- a/proof/src/test/java/org/bramleylatch/proof/SoakRun.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakRun.java
@@ -28,19 +28,14 @@
 
     /** Returns the run after its next part. */
     SoakRun withPartWritten(long nextDueMillis) {
-        return new SoakRun(
-                requestId,
-                endpoint,
-                port,
-                answer,
-                socket,
-                receivedMillis,
-                nextDueMillis,
-                writtenParts + 1,
-                done);
+        return with(nextDueMillis, writtenParts + 1, done);
     }
 
     SoakRun ended() {
+        return with(dueMillis, writtenParts, true);
+    }
+
+    private SoakRun with(long newDueMillis, int newWrittenParts, boolean newDone) {
         return new SoakRun(
                 requestId,
                 endpoint,
@@ -48,9 +43,9 @@
                 answer,
                 socket,
                 receivedMillis,
-                dueMillis,
-                writtenParts,
-                true);
+                newDueMillis,
+                newWrittenParts,
+                newDone);
     }
 
     /** Returns when the endpoint wrote last, or read the request if it wrote nothing. */
