Read before an idle connection is closed on a late event loop

Cause: the same as in the drain of a stop, a late timer with no read before it. Change: both run by TimelyTicks, which leaves out a tick that is over 100 ms late and makes up for it after a read.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
@@ -62,17 +62,9 @@
         return listeningSocket;
     }
 
-    /**
-     * Starts to look for phases that last too long. Each check is timed from the one before, so
-     * that two checks are never closer, even after the process was paused.
-     */
+    /** Starts to look for phases that last too long; called on the event loop. */
     void start(Vertx vertx) {
-        vertx.setTimer(
-                CHECK_MILLIS,
-                ignored -> {
-                    start(vertx);
-                    endOverdue();
-                });
+        new TimelyTicks(vertx, clock, CHECK_MILLIS, this::endOverdue).start();
     }
 
     /** Adds a new connection, which is idle. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
@@ -14,15 +14,6 @@
 final class CallerDrain {
     private static final long TICK_MILLIS = 50;
 
-    /**
-     * Half of the time after which an unanswered request whose connection closes counts as lost. A
-     * timer that is later may run before what arrived meanwhile is read.
-     */
-    private static final long MAX_LATE_MILLIS = 100;
-
-    /** Lets the event loop read from all connections before the next tick. */
-    private static final long READ_MILLIS = 1;
-
     private final Vertx vertx;
     private final InstantSource clock;
     private final CallerConnections connections;
@@ -39,7 +30,7 @@
 
     /** Closes idle connections from now on; called on the event loop. */
     void start() {
-        tickAfter(TICK_MILLIS);
+        new TimelyTicks(vertx, clock, TICK_MILLIS, this::tick).start();
     }
 
     /**
@@ -57,19 +48,6 @@
         return finished;
     }
 
-    private void tickAfter(long delayMillis) {
-        long dueMillis = clock.millis() + delayMillis;
-        vertx.setTimer(
-                delayMillis,
-                ignored -> {
-                    boolean isLate = clock.millis() - dueMillis > MAX_LATE_MILLIS;
-                    tickAfter(isLate ? READ_MILLIS : TICK_MILLIS);
-                    if (!isLate) {
-                        tick();
-                    }
-                });
-    }
-
     private void tick() {
         idleCheck
                 .findFailing(connections.open(), connection -> !connections.isIdle(connection))
