Close callers' connections before a gateway exits, and leave the rest to the exit

The exit's 300 ms are then nobody's wait. The variants that this replaces are gone (the guards of two timers).

--- a/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
@@ -35,7 +35,6 @@
     private final GrpcClient client;
     private final Map<Incarnation, GrpcClientRequest<Buffer, Buffer>> requestsByKeeper =
             new HashMap<>();
-    private volatile boolean closing;
 
     /**
      * Creates the set of connections, without any.
@@ -61,11 +60,6 @@
         }
     }
 
-    /** Connects no more; called before the runtime closes the connections. */
-    public void beginClose() {
-        closing = true;
-    }
-
     /**
      * Sends a message; drops it if the keeper is not connected, of which the router was informed by
      * {@link RouterInput.KeeperDown}.
@@ -154,13 +148,7 @@
         private void scheduleReconnect() {
             if (!reconnectScheduled) {
                 reconnectScheduled = true;
-                vertx.setTimer(RECONNECT_DELAY_MILLIS, id -> reconnect());
-            }
-        }
-
-        private void reconnect() {
-            if (!closing) {
-                connect();
+                vertx.setTimer(RECONNECT_DELAY_MILLIS, id -> connect());
             }
         }
     }
--- a/edge/src/main/java/org/bramleylatch/edge/ProcessExit.java
+++ b/edge/src/main/java/org/bramleylatch/edge/ProcessExit.java
@@ -5,8 +5,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Ends the process without the runtime's own exit, which takes hundreds of milliseconds in which
- * open connections are neither read nor closed.
+ * Ends the process. The runtime takes 300 ms for its exit while a thread is in a system call, in
+ * which open connections are neither read nor closed: those of callers must be closed before.
  */
 public final class ProcessExit {
     /** The status of a process that SIGTERM ends. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerConnections.java
@@ -117,6 +117,11 @@
                 .forEach(this::end);
     }
 
+    /** Closes all open connections. */
+    void closeAll() {
+        open().forEach(HttpConnection::close);
+    }
+
     /** Ends what the connection waits for. */
     void end(HttpConnection connection) {
         rows.find(connection).ifPresent(this::end);
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -68,7 +68,6 @@
     private final MessageHandlers<KeeperOutput> keeperHandlers;
     private final PlannedStop plannedStop;
     private final GatewayServers servers;
-    private volatile boolean closing;
 
     private GatewayDaemon(
             Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
@@ -146,6 +145,7 @@
                         drain::start,
                         () -> routerLoop.offer(new RouterInput.StopTimeReached()),
                         () -> keeperLoop.offer(new KeeperInput.StopAsked()),
+                        () -> callerServer.connections().closeAll(),
                         () -> drain.finish().thenCompose(d -> callerServer.whenAnswersWritten())),
                 new StopLog(routerLoop.world(), callerServer, this::recordEvent));
     }
@@ -246,8 +246,6 @@
      * @return completes once nothing runs any more
      */
     CompletableFuture<Void> close() {
-        closing = true;
-        keeperConnections.beginClose();
         return vertx.close().toCompletionStage().toCompletableFuture();
     }
 
@@ -261,7 +259,7 @@
     }
 
     private void startOnContext(CompletableFuture<GatewayDaemon> started) {
-        Infrastructure.setDefaultExecutor(this::runUnlessClosing);
+        Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
         loopLag.start(vertx);
         callerServer.start(vertx);
         recordEvent(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
@@ -291,13 +289,6 @@
                 .whenComplete((done, failure) -> completeStart(started, failure));
     }
 
-    /** Timers of the runtime's scheduler may end after the event loop, which then takes no task. */
-    private void runUnlessClosing(Runnable task) {
-        if (!closing) {
-            context.runOnContext(ignored -> task.run());
-        }
-    }
-
     /**
      * Returns the ports for callers, for readiness checks and for peers and metrics, in this order.
      */
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayMain.java
@@ -102,7 +102,7 @@
         BootFile bootFile = BootFile.read(boot);
         GatewaySettings gatewaySettings = GatewaySettings.read(settings);
         STOP_SIGNALS.forEach(name -> Signals.on(name, () -> stopOnceStarted(starting, clock)));
-        starting.thenCompose(GatewayMain::closeOnceStopped)
+        starting.thenCompose(GatewayDaemon::whenStopped)
                 .thenRun(() -> ProcessExit.now(ProcessExit.STOPPED_BY_SIGNAL));
         starting.thenCompose(GatewayDaemon::whenFailed).thenRun(GatewayMain::exitOnFailure);
         GatewayDaemon.start(clock, bootFile, gatewaySettings)
@@ -126,8 +126,4 @@
         System.err.println(NAME + ": the event loop has ended");
         ProcessExit.now(EXIT_FAILED);
     }
-
-    private static CompletableFuture<Void> closeOnceStopped(GatewayDaemon daemon) {
-        return daemon.whenStopped().thenCompose(stopped -> daemon.close());
-    }
 }
--- a/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
@@ -55,6 +55,7 @@
      * @param closeIdleConnections closes idle connections from now on
      * @param endOpenRequests asks the router to answer the requests that are still open
      * @param stopKeeper asks the keeper to return its grants
+     * @param closeRemaining closes the connections that are open when the time is over
      * @param closeConnections takes no more connections; completes once every answer that has ended
      *     is written and no connection is open
      */
@@ -63,6 +64,7 @@
             Runnable closeIdleConnections,
             Runnable endOpenRequests,
             Runnable stopKeeper,
+            Runnable closeRemaining,
             Supplier<CompletableFuture<Void>> closeConnections) {}
 
     /**
@@ -103,7 +105,7 @@
         runAt(
                 graceMillis - LAST_CLOSES_MILLIS,
                 () -> complete(keeperStopped, Step.CLOSE_TIME_REACHED));
-        runAt(graceMillis - EXIT_MILLIS, () -> complete(stopped, Step.TIME_OVER));
+        runAt(graceMillis - EXIT_MILLIS, this::endInTime);
         routerStopped.thenRun(actions.stopKeeper());
         keeperStopped
                 .thenCompose(done -> actions.closeConnections().get())
@@ -144,6 +146,11 @@
         }
     }
 
+    private void endInTime() {
+        actions.closeRemaining().run();
+        complete(stopped, Step.TIME_OVER);
+    }
+
     private void complete(CompletableFuture<Void> reached, Step step) {
         if (!reached.isDone()) {
             note(step);
