Extend only begun answers beyond the assumed deadline

Change: only an answer that has begun is left that time, 200 ms at most; the field says uncertainty.

--- a/core/src/main/java/org/bramleylatch/core/RequestTraits.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestTraits.java
@@ -10,14 +10,14 @@
  * @param sharedPartIds the ids of the prompt's parts that other requests may share, in order
  * @param priority the rank among queued requests; 0 is the most urgent
  * @param metered true if the request is billed to a budget
- * @param arrivalDoubtMillis how much later than assumed the request may have arrived
+ * @param arrivalUncertaintyMillis how much later than assumed the request may have arrived
  */
 public record RequestTraits(
         long sharedPrefixTokens,
         List<String> sharedPartIds,
         int priority,
         boolean metered,
-        long arrivalDoubtMillis) {
+        long arrivalUncertaintyMillis) {
     private static final RequestTraits STANDARD = new RequestTraits(0, List.of(), 0, true);
 
     /** Copies the list. */
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -17,8 +17,8 @@
     /** Longer than most freezes of a process, and shorter than a grant lasts. */
     private static final long KEEPER_RETRIAL_MILLIS = 2_000;
 
-    /** Half of the time after a route's timeout in which its callers are told at the latest. */
-    private static final long MAX_DOUBT_MILLIS = 250;
+    /** Less than the quarter of a second past a route's timeout from which an answer is overdue. */
+    private static final long MAX_UNCERTAINTY_MILLIS = 200;
 
     private static final TickDispatch<RouterTick, RouterTimer> HANDLERS =
             TickDispatch.<RouterTick, RouterTimer>empty()
@@ -55,13 +55,14 @@
         return row.isPresent();
     }
 
-    /** Leaves an attempt the time by which its request may have arrived later than assumed. */
+    /** Leaves a begun answer the time by which its request may have arrived later than assumed. */
     private static void expire(RouterTick tick, RequestRow row) {
         RequestSpec spec = row.spec();
         long lastMillis =
                 spec.deadlineMillis()
-                        + Math.min(spec.traits().arrivalDoubtMillis(), MAX_DOUBT_MILLIS);
-        if (row.attempt().isPresent() && tick.nowMillis() < lastMillis) {
+                        + Math.min(
+                                spec.traits().arrivalUncertaintyMillis(), MAX_UNCERTAINTY_MILLIS);
+        if (row.deliveredTokens() > 0 && tick.nowMillis() < lastMillis) {
             tick.world().timers().set(new RequestDeadline(spec.id()), lastMillis);
         } else {
             RequestCompletion.refuse(tick.world(), row, deadlineCode(row), "deadline");
