Read an answer that comes with its interim answer in the soak

The harness parsed one message a segment. It goes on behind an interim answer now; the check of broken answers is the same.

--- a/proof/src/test/java/org/bramleylatch/proof/SoakCallers.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakCallers.java
@@ -185,7 +185,11 @@
     private void handleAnswer(SoakCaller caller, NetSocket socket, SoakMessage message) {
         if (message.status() == STATUS_CONTINUE) {
             int end = message.end().orElseThrow();
-            put(caller.withReceived(caller.received().substring(end)).dueAt(world.nowMillis()));
+            SoakCaller next =
+                    caller.withReceived(caller.received().substring(end)).dueAt(world.nowMillis());
+            put(next);
+            SoakMessage.parse(next.received())
+                    .ifPresent(answer -> handleAnswer(next, socket, answer));
         } else if (message.isComplete()) {
             boolean isClosing = message.header("connection").equalsIgnoreCase("close");
             boolean keep =
