Refuse new requests before open ones are ended in a short grace period

By the review: with a grace period under 3.8 s the last steps of a stop came before the first. The router is asked to refuse new requests at the latest when the open ones are ended.

--- a/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
@@ -100,7 +100,9 @@
         begun = true;
         askedMillis = newAskedMillis;
         note(Step.ASKED);
-        runAt(BALANCER_REMOVAL_MILLIS, this::stopRouter);
+        runAt(
+                Math.min(BALANCER_REMOVAL_MILLIS, graceMillis - LAST_APPENDS_MILLIS),
+                this::stopRouter);
         runAt(graceMillis - LAST_APPENDS_MILLIS, this::endRouter);
         runAt(
                 graceMillis - LAST_CLOSES_MILLIS,
