--- a/edge/src/main/java/org/bramleylatch/edge/ListeningSocket.java
+++ b/edge/src/main/java/org/bramleylatch/edge/ListeningSocket.java
@@ -13,11 +13,11 @@
  * connections that the server has accepted.
  */
 public final class ListeningSocket {
-    /** The thread that accepts connections looks for new ones between two tasks that are timed. */
-    private static final long PASS_MILLIS = 1;
+    /** The event loop selects, and accepts, before it runs a timer that was set on it. */
+    private static final long SELECT_MILLIS = 1;
 
-    /** Each pass accepts 16 connections, so this exceeds the usual length of the queue. */
-    private static final int MAX_PASSES = 64;
+    /** Each select accepts up to 16 connections; callers that go on connecting don't end it. */
+    private static final int MAX_SELECTS = 64;
 
     private final Channel channel;
 
@@ -38,8 +38,8 @@
      */
     public CompletableFuture<Void> close() {
         CompletableFuture<Void> closed = new CompletableFuture<>();
-        // The system's socket stays open until the selector's next pass.
-        channel.closeFuture().addListener(done -> afterPass(() -> closed.complete(null)));
+        // The selector closes the system's socket in its next select.
+        channel.closeFuture().addListener(done -> afterSelect(() -> closed.complete(null)));
         channel.eventLoop().execute(this::beginClose);
         return closed;
     }
@@ -47,21 +47,23 @@
     private void beginClose() {
         AcceptCounter accepted = new AcceptCounter();
         channel.pipeline().addFirst(accepted);
-        afterPass(() -> closeOnceQuiet(accepted, 0, MAX_PASSES));
+        afterSelect(() -> closeOnceQuiet(accepted, 0, MAX_SELECTS));
     }
 
-    private void closeOnceQuiet(AcceptCounter accepted, int acceptedBefore, int passesLeft) {
-        if (accepted.count == acceptedBefore || passesLeft == 0) {
+    private void closeOnceQuiet(AcceptCounter accepted, int acceptedBefore, int selectsLeft) {
+        if (accepted.count == acceptedBefore || selectsLeft == 0) {
             channel.close();
         } else {
             int acceptedNow = accepted.count;
-            afterPass(() -> closeOnceQuiet(accepted, acceptedNow, passesLeft - 1));
+            afterSelect(() -> closeOnceQuiet(accepted, acceptedNow, selectsLeft - 1));
         }
     }
 
-    /** Must be called on the event loop: a late timer of another thread gets no pass before it. */
-    private void afterPass(Runnable task) {
-        channel.eventLoop().schedule(task, PASS_MILLIS, TimeUnit.MILLISECONDS);
+    /**
+     * Must run on the event loop, which may run a late timer of another thread without a select.
+     */
+    private void afterSelect(Runnable task) {
+        channel.eventLoop().schedule(task, SELECT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Counts connections on the thread that accepts them. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -146,7 +146,9 @@
                         () -> routerLoop.offer(new RouterInput.StopTimeReached()),
                         () -> keeperLoop.offer(new KeeperInput.StopAsked()),
                         () -> callerServer.connections().closeAll(),
-                        () -> drain.finish().thenCompose(d -> callerServer.whenAnswersWritten())),
+                        () ->
+                                drain.finish()
+                                        .thenCompose(none -> callerServer.whenAnswersWritten())),
                 new StopLog(routerLoop.world(), callerServer, this::recordEvent));
     }
 
