Pick no port twice for the processes of a test

Its log says PORT_IN_USE: 25674, and keeper-2.json of the same test has that port too: the ports of a deployment are picked at random before any process listens, so two can be the same. FreePorts remembers what it has returned. FreePortsTest.noPortIsPickedTwice failed before ("Found duplicate(s)" in 1,000 picks) and passes.

--- a/bench/src/main/java/org/bramleylatch/bench/FreePorts.java
+++ b/bench/src/main/java/org/bramleylatch/bench/FreePorts.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -14,10 +16,12 @@
     private static final int END_PORT = 32_000;
     private static final int MAX_TRIES = 1_000;
 
+    private static final Set<Integer> PICKED = ConcurrentHashMap.newKeySet();
+
     private FreePorts() {}
 
     /**
-     * Returns a port that is free now.
+     * Returns a port that is free now, and that this method has not returned before.
      *
      * @throws IllegalStateException if none was found
      */
@@ -25,7 +29,7 @@
         return ThreadLocalRandom.current()
                 .ints(FIRST_PORT, END_PORT)
                 .limit(MAX_TRIES)
-                .filter(port -> isFree(ip, port))
+                .filter(port -> isFree(ip, port) && PICKED.add(port))
                 .findFirst()
                 .orElseThrow(() -> new IllegalStateException("no free port at " + ip));
     }
