--- a/proof/src/test/java/org/bramleylatch/proof/SoakJudge.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakJudge.java
@@ -128,7 +128,7 @@
 
     /**
      * Returns true if the request was not passed on and its connection did not hang. By the rules,
-     * a request that crosses a close and isn't passed on doesn't count; a freeze is a disturbance,
+     * a request that crosses a close and isn't passed on doesn't count; a freeze is a disruption,
      * starvation by a part of the time is none here.
      */
     private boolean mayCrossClose(SoakRequest request, End end, List<SoakRun> runs) {
