Take no more connections after half of the grace period

The log of front-ie-b-3: KEEPER_STOPPED@6936 without a connection, TIME_OVER@7393 with six.

Cause: the port stayed open until the router and the keeper had stopped, on a VM that is late until shortly before the time is over. Change: the port closes after half of the grace period at the latest, so that the rest of it is for the connections that were taken; callers that connect later reach another VM at once.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
@@ -20,6 +20,7 @@
     private final ConsecutiveCheck<HttpConnection> idleCheck = new ConsecutiveCheck<>();
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
     private boolean listening = true;
+    private boolean closing;
     private boolean wasEmpty;
 
     CallerDrain(Vertx vertx, InstantSource clock, CallerConnections connections) {
@@ -33,18 +34,26 @@
         new TimelyTicks(vertx, clock, TICK_MILLIS, this::tick).start();
     }
 
+    /** Accepts no more connections; called on the event loop. */
+    void stopListening() {
+        if (!closing) {
+            closing = true;
+            Context context = vertx.getOrCreateContext();
+            connections
+                    .listeningSocket()
+                    .map(ListeningSocket::close)
+                    .orElseGet(() -> CompletableFuture.completedFuture(null))
+                    .thenRun(() -> context.runOnContext(ignored -> listening = false));
+        }
+    }
+
     /**
      * Accepts no more connections; called on the event loop.
      *
      * @return completes once no connection is open
      */
     CompletableFuture<Void> finish() {
-        Context context = vertx.getOrCreateContext();
-        connections
-                .listeningSocket()
-                .map(ListeningSocket::close)
-                .orElseGet(() -> CompletableFuture.completedFuture(null))
-                .thenRun(() -> context.runOnContext(ignored -> listening = false));
+        stopListening();
         return finished;
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -143,6 +143,7 @@
                 new PlannedStop.Actions(
                         () -> routerLoop.offer(new RouterInput.StopAsked()),
                         drain::start,
+                        drain::stopListening,
                         () -> routerLoop.offer(new RouterInput.StopTimeReached()),
                         () -> keeperLoop.offer(new KeeperInput.StopAsked()),
                         () -> callerServer.connections().closeAll(),
--- a/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PlannedStop.java
@@ -40,6 +40,7 @@
         ASKED,
         ASKED_AGAIN,
         ROUTER_ASKED,
+        LISTEN_TIME_OVER,
         OPEN_REQUESTS_ENDED,
         ROUTER_STOPPED,
         KEEPER_STOPPED,
@@ -53,6 +54,7 @@
      *
      * @param stopRouter asks the router to refuse new requests and to finish those that are open
      * @param closeIdleConnections closes idle connections from now on
+     * @param stopListening takes no more connections
      * @param endOpenRequests asks the router to answer the requests that are still open
      * @param stopKeeper asks the keeper to return its grants
      * @param closeRemaining closes the connections that are open when the time is over
@@ -62,6 +64,7 @@
     record Actions(
             Runnable stopRouter,
             Runnable closeIdleConnections,
+            Runnable stopListening,
             Runnable endOpenRequests,
             Runnable stopKeeper,
             Runnable closeRemaining,
@@ -103,6 +106,7 @@
         runAt(
                 Math.min(BALANCER_REMOVAL_MILLIS, graceMillis - LAST_APPENDS_MILLIS),
                 this::stopRouter);
+        runAt(graceMillis / 2, this::stopListening);
         runAt(graceMillis - LAST_APPENDS_MILLIS, this::endRouter);
         runAt(
                 graceMillis - LAST_CLOSES_MILLIS,
@@ -140,6 +144,12 @@
         actions.closeIdleConnections().run();
     }
 
+    /** Leaves a VM that is late half of the grace period for the connections that it has taken. */
+    private void stopListening() {
+        note(Step.LISTEN_TIME_OVER);
+        actions.stopListening().run();
+    }
+
     private void endRouter() {
         if (!routerStopped.isDone()) {
             note(Step.OPEN_REQUESTS_ENDED);
