Advance the clock of a test of idle connections on its event loop

Cause, by reading: the test advanced the clock in its own thread, so that an answer's end, which begins the idle phase, could be noted after the advance; the phase was then never overdue. The clock is advanced in the check on the event loop now, 200 ms later, and reads have a time limit. The checks and their order are the same.

--- a/gateway/src/test/java/org/bramleylatch/gateway/IdleTwiceTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/IdleTwiceTest.java
@@ -19,6 +19,7 @@
 
 class IdleTwiceTest {
     private static final int IDLE_TIMEOUT_MILLIS = 500;
+    private static final int READ_TIMEOUT_MILLIS = 20_000;
     private static final byte[] REQUEST =
             "GET / HTTP/1.1\r\nhost: a\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
@@ -48,12 +49,12 @@
                         .join()
                         .actualPort();
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            caller.setSoTimeout(READ_TIMEOUT_MILLIS);
             for (int suspension = 0; suspension < 3; suspension++) {
                 assertThat(call(caller)).as("call " + suspension).startsWith("HTTP/1.1 200");
-                nowMillis.addAndGet(3 * IDLE_TIMEOUT_MILLIS);
-                check();
+                checkAfter(3 * IDLE_TIMEOUT_MILLIS);
             }
-            check();
+            checkAfter(0);
             assertThat(caller.getInputStream().read()).isNegative();
         }
     }
@@ -63,12 +64,13 @@
         request.response().end().onComplete(done -> connections.endAnswer(request));
     }
 
-    /** Checks on the event loop, after the answers that were written before. */
-    private void check() throws Exception {
+    /** Advances the clock and checks, on the event loop, after the answers that were written. */
+    private void checkAfter(long suspendedMillis) throws Exception {
         CompletableFuture<Void> checked = new CompletableFuture<>();
         vertx.setTimer(
                 200,
                 ignored -> {
+                    nowMillis.addAndGet(suspendedMillis);
                     connections.endOverdue();
                     checked.complete(null);
                 });
