Close the port of a stopping gateway also if its first connection comes late

It took 12 afterwards, in a loop that was late by 1.2 s, and closed them at TIME_OVER without an answer.

Cause: the listening socket is known from the first connection only, and was asked for once. Change: the drain closes it as soon as it is known.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerDrain.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.bramleylatch.edge.ListeningSocket;
 
@@ -19,8 +20,10 @@
     private final CallerConnections connections;
     private final ConsecutiveCheck<HttpConnection> idleCheck = new ConsecutiveCheck<>();
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
-    private boolean listening = true;
-    private boolean closing;
+    private boolean mayListen = true;
+    private boolean closeBegun;
+    private boolean socketClosed;
+    private boolean finishing;
     private boolean wasEmpty;
 
     CallerDrain(Vertx vertx, InstantSource clock, CallerConnections connections) {
@@ -36,14 +39,19 @@
 
     /** Accepts no more connections; called on the event loop. */
     void stopListening() {
-        if (!closing) {
-            closing = true;
+        mayListen = false;
+        closeListeningSocket();
+    }
+
+    /** Closes the socket once it is known, which is with the first connection. */
+    private void closeListeningSocket() {
+        Optional<ListeningSocket> socket = connections.listeningSocket();
+        if (!mayListen && !closeBegun && socket.isPresent()) {
+            closeBegun = true;
             Context context = vertx.getOrCreateContext();
-            connections
-                    .listeningSocket()
-                    .map(ListeningSocket::close)
-                    .orElseGet(() -> CompletableFuture.completedFuture(null))
-                    .thenRun(() -> context.runOnContext(ignored -> listening = false));
+            socket.get()
+                    .close()
+                    .thenRun(() -> context.runOnContext(ignored -> socketClosed = true));
         }
     }
 
@@ -54,6 +62,7 @@
      */
     CompletableFuture<Void> finish() {
         stopListening();
+        finishing = true;
         return finished;
     }
 
@@ -61,8 +70,10 @@
         idleCheck
                 .findFailing(connections.open(), connection -> !connections.isIdle(connection))
                 .forEach(connections::end);
-        boolean isEmpty = !listening && connections.count() == 0;
-        if (isEmpty && wasEmpty) {
+        closeListeningSocket();
+        boolean isClosed = !mayListen && (socketClosed || !closeBegun);
+        boolean isEmpty = isClosed && connections.count() == 0;
+        if (finishing && isEmpty && wasEmpty) {
             finished.complete(null);
         }
         wasEmpty = isEmpty;
