Log on which connection an attempt was answered, and whose answer it was

Cause: no log line said which connection an attempt used, which request on it that was, or by which signature an answer could be told from a copy, so that the hypotheses of the incident looked alike.

Change: ATTEMPT_ANSWERED names the connection, the number of requests that it has carried, the id and the digest of the signature that the answer bears, and the router's verdict; ATTEMPT_UNANSWERED the connection of an attempt that ended before an answer's head; ANSWER_ENDED the digest of the signature that the caller got. No logic changes.

Measured: AttemptEventsTest, AnswerEventsTest, LateCopyTest, ConnectionReuseTest, EndpointClientTest and OrphanTest pass. The cost of the lines was not measured yet.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -21,6 +21,10 @@
     /** Nothing more is written to the caller: the answer is complete or its connection closed. */
     ANSWER_ENDED,
     ATTEMPT_STARTED,
+    /** The head of an answer arrived for an attempt: on which connection, and what it names. */
+    ATTEMPT_ANSWERED,
+    /** An attempt whose request was written has ended without the head of an answer. */
+    ATTEMPT_UNANSWERED,
     ATTEMPT_ENDED,
     ATTEMPT_FAILED,
     /** An endpoint has sent nothing for an attempt for a while; whether it is probed. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -14,6 +14,7 @@
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.edge.Problem;
+import org.bramleylatch.platform.AnswerSignature;
 import org.bramleylatch.platform.CallerRequestHead;
 import org.bramleylatch.platform.EndpointAnswerHead;
 import org.bramleylatch.wire.Json;
@@ -109,6 +110,11 @@
                 .map(HttpServerResponse::getStatusCode);
     }
 
+    /** Returns a digest of the endpoint's signature on the answer; empty if it bears none. */
+    Optional<String> sentSignatureDigest() {
+        return AnswerSignature.digest(response().headers());
+    }
+
     /** Returns the id of the last event that was sent; empty if there is none or it has no id. */
     OptionalLong lastEventId() {
         return lastEventId;
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -195,6 +195,9 @@
                 id,
                 exchange,
                 exchange.sentStatus().map(status -> " status=" + status).orElse("")
+                        + exchange.sentSignatureDigest()
+                                .map(digest -> " signature=" + digest)
+                                .orElse("")
                         + " "
                         + outcome);
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -13,6 +13,8 @@
 import org.bramleylatch.core.AnswerVerdict;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.Event;
+import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterInput.AttemptFailed.Cause;
 import org.bramleylatch.core.RunState;
@@ -39,8 +41,10 @@
     private final EventRelay events;
     private final AnswerReader.Factory readers;
     private final Consumer<RouterInput> inbox;
+    private final Consumer<Event> timeline;
     private final ByteBudget bufferBudget;
     private Optional<HttpClientRequest> request = Optional.empty();
+    private Optional<ConnectionUse> unansweredUse = Optional.empty();
     private Optional<AnswerReader> reader = Optional.empty();
     private int interimAnswers;
     private long bufferedBytes;
@@ -52,6 +56,7 @@
      * @param events receives the events of a streamed answer
      * @param readers reads the answer
      * @param bufferBudget bounds what all calls hold of incomplete answers
+     * @param timeline receives what arrived on which connection
      */
     EndpointCall(
             AttemptId attempt,
@@ -60,7 +65,8 @@
             EventRelay events,
             AnswerReader.Factory readers,
             ByteBudget bufferBudget,
-            Consumer<RouterInput> inbox) {
+            Consumer<RouterInput> inbox,
+            Consumer<Event> timeline) {
         this.attempt = attempt;
         this.endpoint = endpoint;
         this.exchange = exchange;
@@ -68,25 +74,27 @@
         this.readers = readers;
         this.bufferBudget = bufferBudget;
         this.inbox = inbox;
+        this.timeline = timeline;
     }
 
     /**
      * Sends the request on an open connection, or resets it if the call was cancelled meanwhile.
      *
-     * @param connectionUses the number of requests on the connection, this one included
+     * @param use the place of the request on its connection
      */
-    void send(HttpClientRequest newRequest, int connectionUses) {
+    void send(HttpClientRequest newRequest, ConnectionUse use) {
         request = Optional.of(newRequest);
         if (finished) {
             newRequest.reset();
             return;
         }
+        unansweredUse = Optional.of(use);
         newRequest.exceptionHandler(failure -> loseConnection("request failed: ", failure));
         newRequest.continueHandler(ignored -> receiveInterim());
         newRequest.earlyHintsHandler(hints -> receiveInterim());
         newRequest
                 .response()
-                .onSuccess(answer -> guard(() -> receiveHead(answer, connectionUses)))
+                .onSuccess(answer -> guard(() -> receiveHead(answer, use)))
                 .onFailure(failure -> loseConnection("no answer: " + failure));
         guard(() -> exchange.sendBodyTo(newRequest));
     }
@@ -134,7 +142,7 @@
         }
     }
 
-    private void receiveHead(HttpClientResponse answer, int connectionUses) {
+    private void receiveHead(HttpClientResponse answer, ConnectionUse use) {
         if (finished) {
             return;
         }
@@ -144,8 +152,9 @@
             inbox.accept(
                     new RouterInput.RateLimitObserved(endpoint, head.requestsPerSecondLimit()));
         }
-        AnswerEvidence evidence = head.evidence(connectionUses);
+        AnswerEvidence evidence = head.evidence(use.uses());
         AnswerVerdict verdict = evidence.judge(exchange.head().id());
+        noteAnswer(head, evidence, use, verdict);
         if (verdict != AnswerVerdict.UNATTRIBUTED && !head.isMisdirected()) {
             reportSignals(head);
         }
@@ -161,6 +170,34 @@
         handler.run();
     }
 
+    private void noteAnswer(
+            EndpointAnswerHead head,
+            AnswerEvidence evidence,
+            ConnectionUse use,
+            AnswerVerdict verdict) {
+        unansweredUse = Optional.empty();
+        note(
+                EventKind.ATTEMPT_ANSWERED,
+                "connection="
+                        + use.connection()
+                        + " "
+                        + evidence.describe()
+                        + " signature="
+                        + head.signatureDigest().orElse("none")
+                        + " verdict="
+                        + verdict);
+    }
+
+    private void noteUnanswered(ConnectionUse use) {
+        note(
+                EventKind.ATTEMPT_UNANSWERED,
+                "connection=" + use.connection() + " connectionUses=" + use.uses());
+    }
+
+    private void note(EventKind kind, String detail) {
+        timeline.accept(Event.of(kind, attempt, endpoint + " " + detail));
+    }
+
     private void reportSignals(EndpointAnswerHead head) {
         if (head.isLeaving()) {
             inbox.accept(new RouterInput.EndpointLeaving(endpoint));
@@ -321,6 +358,8 @@
 
     private void finish() {
         finished = true;
+        unansweredUse.ifPresent(this::noteUnanswered);
+        unansweredUse = Optional.empty();
         bufferBudget.giveBack(bufferedBytes);
         bufferedBytes = 0;
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -22,6 +22,7 @@
 import java.util.function.ToIntFunction;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.Event;
 import org.bramleylatch.core.RequestId;
 import org.bramleylatch.core.RequestSpec;
 import org.bramleylatch.core.RouterInput;
@@ -66,6 +67,7 @@
     private final Function<RequestId, Optional<RequestSpec>> specs;
     private final ToIntFunction<String> tokensPerEvent;
     private final Consumer<RouterInput> inbox;
+    private final Consumer<Event> timeline;
     private final HttpClient keepAliveClient;
     private final HttpClient singleUseClient;
     private final NetClient probeClient;
@@ -82,6 +84,7 @@
      * @param exchanges finds the exchange of a request whose caller still waits
      * @param specs finds the parameters of an open request
      * @param tokensPerEvent returns the number of tokens in one event of a back end's stream
+     * @param timeline receives an event when an attempt is answered or ends unanswered
      */
     EndpointClient(
             Vertx vertx,
@@ -90,7 +93,8 @@
             Function<RequestId, Optional<CallerExchange>> exchanges,
             Function<RequestId, Optional<RequestSpec>> specs,
             ToIntFunction<String> tokensPerEvent,
-            Consumer<RouterInput> inbox) {
+            Consumer<RouterInput> inbox,
+            Consumer<Event> timeline) {
         this.vertx = vertx;
         this.clock = clock;
         this.registry = registry;
@@ -98,6 +102,7 @@
         this.specs = specs;
         this.tokensPerEvent = tokensPerEvent;
         this.inbox = inbox;
+        this.timeline = timeline;
         this.readers = AnswerReader.factory(vertx, clock, new LoopShare(calls::size));
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
         this.keepAliveClient =
@@ -156,7 +161,8 @@
                 events,
                 readers,
                 bufferBudget,
-                messages);
+                messages,
+                timeline);
     }
 
     /**
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -161,7 +161,8 @@
                 callerServer::findExchange,
                 id -> routerLoop.world().requests().find(id).map(RequestRow::spec),
                 name -> configurationReceiver.latest().traitsOf(name).tokensPerEvent(),
-                routerLoop::offer);
+                routerLoop::offer,
+                this::recordEvent);
     }
 
     private LatestValueWriter<RouterOutput.ReportRollout> rolloutWriter() {
--- a/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
@@ -49,7 +49,8 @@
                     id -> Optional.ofNullable(exchange.get()),
                     id -> Optional.of(spec()),
                     name -> 1,
-                    inbox::add);
+                    inbox::add,
+                    event -> {});
 
     @BeforeEach
     void receiveCallersRequest() throws Exception {
--- a/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
@@ -186,7 +186,8 @@
                 callers::findExchange,
                 id -> Optional.of(spec),
                 name -> 1,
-                inbox::add);
+                inbox::add,
+                event -> {});
     }
 
     private CompletableFuture<HttpClientResponse> sendRequest() {
