Send no request id twice over one connection to an endpoint

Cause: an answer names its request by the id, and attempts of one request share it. If an attempt failed because of what its answer held, while HTTP saw a whole answer, its connection went back to the pool, and a retry could take it. A late copy of the first answer then bore the id of the second attempt. The class: an answer is attributed by a name that two attempts share on one connection.

Change: a table of the connections remembers a hash of each id that a connection has carried. A request whose id is among them closes the connection and takes another; so does one that meets 128 ids, the bound of the memory (1 KB a connection). This holds by construction, whatever ended the earlier attempt, also for a caller that uses an id again.

Two tests of LateCopyTest called with one id twice, which now takes another connection by itself; they call with an id each, as strict as before: a connection that has carried a success carries the next request, one that has carried a refusal doesn't.

--- a/gateway/src/main/java/org/bramleylatch/gateway/ConnectionUse.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConnectionUse.java
@@ -6,9 +6,4 @@
  * @param connection the number of the connection, from 1 in the order of their first requests
  * @param uses the number of requests that were sent on the connection, this one included
  */
-record ConnectionUse(long connection, int uses) {
-    /** Returns the place of the next request on the same connection. */
-    ConnectionUse next() {
-        return new ConnectionUse(connection, uses + 1);
-    }
-}
+record ConnectionUse(long connection, int uses) {}
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -72,7 +72,7 @@
     private final HttpClient singleUseClient;
     private final NetClient probeClient;
     private final ByteBudget bufferBudget = new ByteBudget(MAX_BUFFERED_BYTES);
-    private final ConnectionUses uses = new ConnectionUses();
+    private final EndpointConnections connections = new EndpointConnections();
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
     private final AnswerReader.Factory readers;
     private final ConsecutiveCheck<AttemptId> orphanCheck = new ConsecutiveCheck<>();
@@ -130,10 +130,7 @@
         EndpointCall call = newCall(start, exchange.get(), spec.get());
         calls.put(start.attempt(), call);
         try {
-            clientFor(spec.get())
-                    .request(requestOptions(exchange.get(), entry.get()))
-                    .onSuccess(request -> sendLater(start, call, request, spec.get(), entry.get()))
-                    .onFailure(call::connectionFailed);
+            connect(start, call, exchange.get(), spec.get(), entry.get());
         } catch (RuntimeException refused) {
             calls.remove(start.attempt());
             LOG.warn("attempt at {} not started, {}", start.endpoint(), entry.get(), refused);
@@ -142,6 +139,18 @@
         }
     }
 
+    private void connect(
+            RouterOutput.StartAttempt start,
+            EndpointCall call,
+            CallerExchange exchange,
+            RequestSpec spec,
+            EndpointEntry entry) {
+        clientFor(spec)
+                .request(requestOptions(exchange, entry))
+                .onSuccess(request -> sendLater(start, call, request, spec, entry))
+                .onFailure(call::connectionFailed);
+    }
+
     private EndpointCall newCall(
             RouterOutput.StartAttempt start, CallerExchange exchange, RequestSpec spec) {
         Consumer<RouterInput> messages = message -> forward(start.attempt(), message);
@@ -181,16 +190,35 @@
                     if (exchange.isEmpty() || clock.millis() >= spec.deadlineMillis()) {
                         request.reset();
                     } else {
-                        sendNow(exchange.get(), call, request, spec, entry);
+                        sendOrReconnect(start, call, exchange.get(), request, spec, entry);
                     }
                 });
     }
 
+    /** Sends the request, over another connection if this one must not carry it. */
+    private void sendOrReconnect(
+            RouterOutput.StartAttempt start,
+            EndpointCall call,
+            CallerExchange exchange,
+            HttpClientRequest request,
+            RequestSpec spec,
+            EndpointEntry entry) {
+        Optional<ConnectionUse> use =
+                connections.assign(request.connection(), exchange.head().id());
+        if (use.isPresent()) {
+            sendNow(exchange, call, request, use.get(), spec, entry);
+        } else {
+            request.connection().close();
+            connect(start, call, exchange, spec, entry);
+        }
+    }
+
     /** Writes the request; one whose head can't be written was not sent. */
     private void sendNow(
             CallerExchange exchange,
             EndpointCall call,
             HttpClientRequest request,
+            ConnectionUse use,
             RequestSpec spec,
             EndpointEntry entry) {
         try {
@@ -201,7 +229,7 @@
             call.connectionFailed(unwritable);
             return;
         }
-        call.send(request, uses.count(request.connection()));
+        call.send(request, use);
     }
 
     private void reportNotStarted(AttemptId attempt, String detail) {
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnectionRow.java
@@ -0,0 +1,47 @@
+package org.bramleylatch.gateway;
+
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.ImmutableLongArray;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Holds which requests a connection to an endpoint has carried.
+ *
+ * @param number the number of the connection, from 1 in the order of their first requests
+ * @param idHashes the hashes of the requests' ids, whose length callers decide
+ */
+record EndpointConnectionRow(long number, ImmutableLongArray idHashes) {
+    /** Bounds the memory for a connection to 1 KB. */
+    private static final int MAX_REQUESTS = 128;
+
+    /** Creates the row of a connection that has carried no request. */
+    static EndpointConnectionRow unused(long number) {
+        return new EndpointConnectionRow(number, ImmutableLongArray.of());
+    }
+
+    /**
+     * Returns true if the connection may carry the request: it has carried none with the same id,
+     * and its row has room for a further one.
+     */
+    boolean mayCarry(String requestId) {
+        return idHashes.length() < MAX_REQUESTS && !idHashes.contains(hash(requestId));
+    }
+
+    EndpointConnectionRow withRequest(String requestId) {
+        return new EndpointConnectionRow(
+                number,
+                ImmutableLongArray.builder(idHashes.length() + 1)
+                        .addAll(idHashes)
+                        .add(hash(requestId))
+                        .build());
+    }
+
+    /** Returns the place of the latest request. */
+    ConnectionUse latestUse() {
+        return new ConnectionUse(number, idHashes.length());
+    }
+
+    private static long hash(String requestId) {
+        return Hashing.sipHash24().hashString(requestId, StandardCharsets.UTF_8).asLong();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnections.java
@@ -0,0 +1,36 @@
+package org.bramleylatch.gateway;
+
+import io.vertx.core.http.HttpConnection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.WeakHashMap;
+
+/**
+ * Decides which requests a connection to an endpoint may carry. An answer names its request by the
+ * id alone, and a faulty endpoint may write it a second time, late. So no connection carries an id
+ * twice: then an answer that names a request can't be a copy of the answer to an earlier one.
+ */
+final class EndpointConnections {
+    private final Map<HttpConnection, EndpointConnectionRow> rows = new WeakHashMap<>();
+    private long connectionCount;
+
+    /**
+     * Assigns a request to a connection.
+     *
+     * @return the place of the request; empty if the connection must not carry it
+     */
+    Optional<ConnectionUse> assign(HttpConnection connection, String requestId) {
+        EndpointConnectionRow row = rows.computeIfAbsent(connection, unused -> newRow());
+        if (!row.mayCarry(requestId)) {
+            return Optional.empty();
+        }
+        EndpointConnectionRow next = row.withRequest(requestId);
+        rows.put(connection, next);
+        return Optional.of(next.latestUse());
+    }
+
+    private EndpointConnectionRow newRow() {
+        connectionCount++;
+        return EndpointConnectionRow.unused(connectionCount);
+    }
+}
--- a/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/LateCopyTest.java
@@ -39,24 +39,25 @@
 
     @Test
     void aCopyOfARefusalWithoutAnIdNeverAnswersTheNextRequest() throws Exception {
-        assertThatACopyAnswersNothing(refusal(503, ""));
+        assertThatACopyAnswersNothing(refusal(503, ""), "request-2");
     }
 
     @Test
     void aCopyOfARefusalNeverAnswersARequestWithTheSameId() throws Exception {
-        assertThatACopyAnswersNothing(refusal(503, id("request-1")));
+        assertThatACopyAnswersNothing(refusal(503, id("request-1")), "request-1");
     }
 
     @Test
     void aCopyOfARateLimitedRefusalNeverAnswersTheNextRequest() throws Exception {
-        assertThatACopyAnswersNothing(refusal(429, ""));
+        assertThatACopyAnswersNothing(refusal(429, ""), "request-2");
     }
 
     @Test
     void aConnectionThatHasCarriedARefusalCarriesNoFurtherRequest() throws Exception {
-        KeptConnectionEndpoint endpoint = addRefusingEndpoint(refusal(503, id("request-1")), "");
-        for (int call = 0; call < 5; call++) {
-            harness.call("/chat/1");
+        KeptConnectionEndpoint endpoint =
+                addEndpoint((request, socket) -> RawEndpoint.write(socket, refusalOf(request)));
+        for (int call = 1; call <= 5; call++) {
+            harness.callWithId("/chat/1", "request-" + call);
         }
         assertThat(endpoint.requests()).extracting(Request::use).containsOnly(1);
     }
@@ -64,10 +65,12 @@
     @Test
     void aConnectionThatHasCarriedACopyBehindARefusalInOneSegmentCarriesNoFurtherRequest()
             throws Exception {
-        String refusal = refusal(503, id("request-1"));
-        KeptConnectionEndpoint endpoint = addRefusingEndpoint(refusal, refusal);
-        for (int call = 0; call < 5; call++) {
-            harness.call("/chat/1");
+        KeptConnectionEndpoint endpoint =
+                addEndpoint(
+                        (request, socket) ->
+                                RawEndpoint.write(socket, refusalOf(request) + refusalOf(request)));
+        for (int call = 1; call <= 5; call++) {
+            harness.callWithId("/chat/1", "request-" + call);
         }
         assertThat(endpoint.requests()).extracting(Request::use).containsOnly(1);
     }
@@ -81,7 +84,7 @@
 
     @Test
     void aRefusalWithoutAnIdOnANewConnectionSaysThatTheRequestDidNotRun() throws Exception {
-        addRefusingEndpoint(refusal(503, ""), "");
+        addEndpoint((request, socket) -> RawEndpoint.write(socket, refusal(503, "")));
         assertThat(harness.call("/chat/1").status()).isEqualTo(503);
     }
 
@@ -145,8 +148,8 @@
                 addEndpoint(
                         (request, socket) ->
                                 RawEndpoint.write(socket, whole(status, id(request.id()))));
-        GatewayHarness.Answer answer = harness.call("/chat/1");
-        harness.call("/chat/1");
+        GatewayHarness.Answer answer = harness.callWithId("/chat/1", "request-1");
+        harness.callWithId("/chat/1", "request-2");
         assertThat(answer.status()).isEqualTo(status);
         assertThat(answer.body()).isEqualTo("no");
         assertThat(endpoint.requests()).extracting(Request::use).containsOnly(1);
@@ -156,8 +159,8 @@
     void aConnectionThatHasCarriedASuccessCarriesTheNextRequest() throws Exception {
         KeptConnectionEndpoint endpoint =
                 addEndpoint((request, socket) -> RawEndpoint.write(socket, stream(request)));
-        harness.call("/chat/1");
-        harness.call("/chat/1");
+        harness.callWithId("/chat/1", "request-1");
+        harness.callWithId("/chat/1", "request-2");
         assertThat(endpoint.requests()).extracting(Request::use).containsExactly(1, 2);
     }
 
@@ -197,7 +200,7 @@
     }
 
     /** Refuses the first request; writes a copy after the next one arrived on its connection. */
-    private void assertThatACopyAnswersNothing(String refusal) throws Exception {
+    private void assertThatACopyAnswersNothing(String refusal, String nextId) throws Exception {
         addEndpoint(
                 (request, socket) -> {
                     if (request.use() > 1) {
@@ -206,13 +209,8 @@
                     }
                     RawEndpoint.write(socket, isFirst(request) ? refusal : stream(request));
                 });
-        assertThat(harness.call("/chat/1").status()).isEqualTo(503);
-        assertThat(harness.call("/chat/1").status()).isEqualTo(200);
-    }
-
-    private KeptConnectionEndpoint addRefusingEndpoint(String refusal, String copy)
-            throws Exception {
-        return addEndpoint((request, socket) -> RawEndpoint.write(socket, refusal + copy));
+        assertThat(harness.callWithId("/chat/1", "request-1").status()).isEqualTo(503);
+        assertThat(harness.callWithId("/chat/1", nextId).status()).isEqualTo(200);
     }
 
     private KeptConnectionEndpoint addEndpoint(Behavior behavior) throws Exception {
@@ -227,6 +225,10 @@
         return request.connection() == 1 && request.use() == 1;
     }
 
+    private static String refusalOf(Request request) {
+        return refusal(503, id(request.id()));
+    }
+
     private static String refusal(int status, String headers) {
         return whole(status, NOT_RUN + headers);
     }
