Take no head that is put together from two answers for an answer

What callers saw: a success where the endpoint had answered with a failure, without any retry.

Cause: an endpoint may write only the beginning of a late copy, cut off within its head. The decoder takes that and the answer to the next request for one head: the status of the copy, the id and the signature of the failure. Nothing of the connection shows it, since an incomplete head is no message yet.

Change: a head with a status line behind its first one, in the reason phrase or in a header, answers no request; its connection is closed. The second status line is always there, since the cut is within the first head.

--- a/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
@@ -5,13 +5,15 @@
 
 /**
  * Holds what the head of an answer and its connection show about the request that it answers. A
- * faulty endpoint may write an answer a second time, after the next request was sent on the
- * connection.
+ * faulty endpoint may write an answer a second time, whole or in part, after the next request was
+ * sent on the connection.
  *
  * @param status the HTTP status
  * @param answeredId the id of the request that the answer names, if any
  * @param signed true if the answer carries the endpoint's signature
  * @param reportsNotRun true if the endpoint states that it has not run the request
+ * @param mergesAnswers true if a status line stands within the head: it begins with that of an
+ *     answer that broke off, and goes on with the next one
  * @param connectionUses the number of requests sent on the connection so far, at least 1
  */
 public record AnswerEvidence(
@@ -19,6 +21,7 @@
         Optional<String> answeredId,
         boolean signed,
         boolean reportsNotRun,
+        boolean mergesAnswers,
         int connectionUses) {
     /** Statuses that promise callers that the request has not run and never will. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
@@ -28,7 +31,7 @@
 
     /** Decides what the answer means for the request with the given id. */
     public AnswerVerdict judge(String requestId) {
-        if (!isAnswerTo(requestId)) {
+        if (mergesAnswers || !isAnswerTo(requestId)) {
             return AnswerVerdict.UNATTRIBUTED;
         }
         if (reportsNotRun) {
@@ -50,6 +53,7 @@
                 + status
                 + " answeredId="
                 + answeredId.orElse("none")
+                + (mergesAnswers ? " mergesAnswers=true" : "")
                 + " connectionUses="
                 + connectionUses;
     }
--- a/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
+++ b/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
@@ -63,11 +63,21 @@
         assertThat(judge(102, SAME, true, false, 1)).isEqualTo(AnswerVerdict.UNPROVEN);
     }
 
+    @Test
+    void aHeadThatIsMadeOfTwoAnswersAnswersNoRequest() {
+        for (int status : new int[] {200, 404, 503}) {
+            assertThat(new AnswerEvidence(status, SAME, true, status == 503, true, 2).judge(ID))
+                    .isEqualTo(AnswerVerdict.UNATTRIBUTED);
+        }
+    }
+
     @Test
     void onlyASuccessKeepsItsConnection() {
-        assertThat(new AnswerEvidence(204, SAME, true, false, 1).keepsConnection()).isTrue();
-        assertThat(new AnswerEvidence(404, SAME, true, false, 1).keepsConnection()).isFalse();
-        assertThat(new AnswerEvidence(102, SAME, true, false, 1).keepsConnection()).isFalse();
+        assertThat(new AnswerEvidence(204, SAME, true, false, false, 1).keepsConnection()).isTrue();
+        assertThat(new AnswerEvidence(404, SAME, true, false, false, 1).keepsConnection())
+                .isFalse();
+        assertThat(new AnswerEvidence(102, SAME, true, false, false, 1).keepsConnection())
+                .isFalse();
     }
 
     private static AnswerVerdict judge(
@@ -76,7 +86,7 @@
             boolean signed,
             boolean reportsNotRun,
             int connectionUses) {
-        return new AnswerEvidence(status, answeredId, signed, reportsNotRun, connectionUses)
+        return new AnswerEvidence(status, answeredId, signed, reportsNotRun, false, connectionUses)
                 .judge(ID);
     }
 }
