--- a/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
@@ -26,6 +26,7 @@
     /** Statuses that promise callers that the request has not run and never will. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+    private static final int MAX_LOGGED_ID_LENGTH = 64;
     private static final int OK = 200;
     private static final int FIRST_REDIRECT = 300;
 
@@ -52,7 +53,7 @@
         return "status="
                 + status
                 + " answeredId="
-                + answeredId.orElse("none")
+                + answeredId.map(AnswerEvidence::shorten).orElse("none")
                 + (mergesAnswers ? " mergesAnswers=true" : "")
                 + " connectionUses="
                 + connectionUses;
@@ -69,6 +70,10 @@
                 : namesRequest || (answeredId.isEmpty() && connectionUses == 1);
     }
 
+    private static String shorten(String id) {
+        return id.substring(0, Math.min(id.length(), MAX_LOGGED_ID_LENGTH));
+    }
+
     private boolean isInterim() {
         return status < OK;
     }
--- a/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
+++ b/core/src/test/java/org/bramleylatch/core/AnswerEvidenceTest.java
@@ -71,6 +71,13 @@
         }
     }
 
+    @Test
+    void theDescriptionOfAnAnswerIsShortHoweverLongTheIdIs() {
+        Optional<String> longId = Optional.of("x".repeat(10_000));
+        assertThat(new AnswerEvidence(200, longId, true, false, false, 1).describe())
+                .hasSizeLessThan(200);
+    }
+
     @Test
     void onlyASuccessKeepsItsConnection() {
         assertThat(new AnswerEvidence(204, SAME, true, false, false, 1).keepsConnection()).isTrue();
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -195,7 +195,7 @@
     }
 
     private void note(EventKind kind, String detail) {
-        timeline.accept(Event.of(kind, attempt, endpoint + " " + detail));
+        timeline.accept(Event.of(kind, attempt, "endpoint=" + endpoint + " " + detail));
     }
 
     private void reportSignals(EndpointAnswerHead head) {
