Return the endpoint's status with a streamed answer

What callers saw: status 200 on every streamed answer, whatever success the endpoint had given.

Cause: CallerExchange.startStream wrote the constant 200; only whole answers took their status from the endpoint. Change: the status comes from the same head as the headers and the signature.

The test before the change (AnswerOfOneAttemptTest, 7 runs, 5 failures; load of 25 on 8 cores):

aStreamKeepsTheStatusOfItsEndpoint expected: 201 but was: 200 aStreamKeepsTheStatusOfItsEndpoint expected: 203 but was: 200 aStreamKeepsTheStatusOfItsEndpoint expected: 206 but was: 200 aStreamWithoutEventsKeepsTheStatusOfItsEndpoint expected: 201 but was: 200 aStreamWithoutEventsKeepsTheStatusOfItsEndpoint expected: 206 but was: 200

After: the first run failed in two of nine cases, both with 503 BUDGET_UNAVAILABLE before any attempt (GRANT_ASKED, RESERVATION_REFUSED 712 and 301 ms later): the entry of GatewayTest in KNOWN-RED.txt, under a load of 25. The second run, under the same load: 9 of 9, and AnswerEventsTest passes.

--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -236,7 +236,7 @@
         if (!started) {
             started = true;
             response()
-                    .setStatusCode(STATUS_OK)
+                    .setStatusCode(answerHead.map(EndpointAnswerHead::status).orElse(STATUS_OK))
                     .setChunked(true)
                     .setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
             answerHead.ifPresent(newest -> newest.forwardHeaders(response().headers()));
