Show that a second answer behind an unframed stream is refused

In a stream of events the bytes tell them apart, as the head of an answer is no event. The cases held a failure's head only; they now hold a copy of the success, and a head that is cut off. In both the attempt fails and the stream goes on at another endpoint after the last sound event. No fault was found, so nothing failed first.

In a whole answer nothing tells them apart.

--- a/gateway/src/test/java/org/bramleylatch/gateway/StreamResumptionTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/StreamResumptionTest.java
@@ -121,6 +121,9 @@
                 "HTTP/1.1 500 Oops\r\ncontent-type: text/plain\r\n\r\nfailed\n\n",
                 "HTTP/1.1 500 Oops\r\ncontent-type: text/plain\r\n\r\nid: 2\ndata: failed\n\n",
                 "HTTP/1.1 500 Oops\nid: 2\ndata: failed\n\n",
+                "HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nserver-seal: seal-1\r\n"
+                        + "content-type: text/event-stream\r\n\r\nid: 2\ndata: word\n\n",
+                "HTTP/1.1 200 O",
                 "upstream failed\n\n",
                 "{\"failed\": true}\n\n",
                 "<html>failed</html>\n\n",
