Give each attempt of a router its own connection to the endpoint

What callers could get: the answer to an earlier attempt, also of another caller; a request sent again while it ran; an attempt that never ended.

Cause: module `router` keeps connections to endpoints. A refusal and a plain service's answer are known by their place on the connection alone, so a late copy of the answer before it was taken for the next attempt's. Events of a stream name their attempt, but the end of the stream was judged by place.

Change: the client for attempts keeps no connection. It holds by construction, also for an attempt that has left the table of calls before the router judged its answer. Ruled out: kept connections for chats only, as a refusal of an engine doesn't name its attempt either; closing a connection whose answer was not whole, as a whole answer can come twice. The client takes the lookup of exchanges as a function, so that the test needs no caller server.

One new connection an attempt; its cost in time was not measured.

--- a/router/src/main/java/org/bramleylatch/router/EndpointClient.java
+++ b/router/src/main/java/org/bramleylatch/router/EndpointClient.java
@@ -13,9 +13,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.EndpointId;
+import org.bramleylatch.core.RequestId;
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RunState;
@@ -26,8 +28,9 @@
 import org.bramleylatch.wire.Json;
 
 /**
- * Sends attempts to endpoints and reports their answers. Keeps the addresses of the endpoints up to
- * date from the platform's VM list and probes the load of those that the router uses.
+ * Sends attempts to endpoints, each over its own connection, and reports their answers. Keeps the
+ * addresses of the endpoints up to date from the platform's VM list and probes the load of those
+ * that the router uses.
  */
 final class EndpointClient {
     private static final long VM_LIST_INTERVAL_MILLIS = 1_000;
@@ -40,7 +43,7 @@
 
     private final Vertx vertx;
     private final PlatformClient platform;
-    private final CallerServer callerServer;
+    private final Function<RequestId, Optional<CallerExchange>> exchanges;
     private final Predicate<EndpointId> isUsed;
     private final Consumer<RouterInput> inbox;
     private final HttpClient client;
@@ -51,12 +54,12 @@
     EndpointClient(
             Vertx vertx,
             PlatformClient platform,
-            CallerServer callerServer,
+            Function<RequestId, Optional<CallerExchange>> exchanges,
             Predicate<EndpointId> isUsed,
             Consumer<RouterInput> inbox) {
         this.vertx = vertx;
         this.platform = platform;
-        this.callerServer = callerServer;
+        this.exchanges = exchanges;
         this.isUsed = isUsed;
         this.inbox = inbox;
         this.client =
@@ -64,7 +67,9 @@
                         new HttpClientOptions()
                                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                                 .setReceiveBufferSize(RECEIVE_BUFFER_BYTES)
-                                .setTcpNoDelay(true),
+                                .setTcpNoDelay(true)
+                                // Refusals and answers of services don't name their attempt.
+                                .setKeepAlive(false),
                         new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
         this.probeClient = WebClient.create(vertx);
     }
@@ -83,7 +88,7 @@
      * or the caller has disconnected.
      */
     void startAttempt(RouterOutput.StartAttempt start) {
-        Optional<CallerExchange> exchange = callerServer.findExchange(start.request());
+        Optional<CallerExchange> exchange = exchanges.apply(start.request());
         Optional<Address> address = Optional.ofNullable(addresses.get(start.endpoint()));
         if (exchange.isEmpty() || address.isEmpty()) {
             reportFailure(
--- a/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
+++ b/router/src/main/java/org/bramleylatch/router/RouterDaemon.java
@@ -83,14 +83,17 @@
                         RouterDaemon::failedOutput);
         this.callerServer =
                 new CallerServer(clock, settings.mostBodyBytes(), world, loop::offer, metrics);
-        this.endpointClient =
-                new EndpointClient(
-                        vertx, platform, callerServer, world.endpoints()::has, loop::offer);
+        this.endpointClient = endpointClient(platform, world);
         this.keeperConnections = new KeeperConnections(vertx, self, hybridClock, loop::offer);
         this.configStream = new ConfigStream(platform);
         this.handlers = handlers();
     }
 
+    private EndpointClient endpointClient(PlatformClient platform, RouterWorld world) {
+        return new EndpointClient(
+                vertx, platform, callerServer::findExchange, world.endpoints()::has, loop::offer);
+    }
+
     /** Starts a router; the future fails with PORT_IN_USE if the port is taken. */
     public static CompletableFuture<Daemon.Running> start(Settings settings) {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
