Fail an attempt of a router whose events name another

What callers could get: events that were written for another live attempt, and an attempt that hung until its deadline.

Cause: the router took the attempt from the event's `id`, whatever attempt the connection was opened for. An end that named another attempt also counted as this one's end, so that nothing reported it.

Failing before (LateAnswerTest.aStreamThatNamesAnotherAttemptFailsItsOwn): expected: AttemptFailed[attempt=a, runState=UNKNOWN, detail=an event names another attempt, cause=OTHER] but was: AnswerEnded[attempt=another, position=0, reason=stop]

Change: events belong to the attempt of their connection; one that names another fails it as of unknown outcome, and the router then cancels it. So does one without an id, which was dropped before.

--- a/router/src/main/java/org/bramleylatch/router/EndpointCall.java
+++ b/router/src/main/java/org/bramleylatch/router/EndpointCall.java
@@ -52,7 +52,8 @@
 
     /**
      * Reads a stream of server-sent events. A stream that ends before an event with a finish reason
-     * is reported as a failed attempt, since part of the answer may be missing.
+     * is reported as a failed attempt, since part of the answer may be missing; so is one with an
+     * event that names another attempt.
      */
     void readStream(HttpClientResponse newResponse, Runnable onEnd) {
         response = Optional.of(newResponse);
@@ -94,16 +95,19 @@
     }
 
     private void receiveEvent(JsonNode event) {
-        AttemptId id = AttemptId.of(event.path("id").asText());
+        if (!attempt.value().equals(event.path("id").asText())) {
+            reportFailure("an event names another attempt");
+            return;
+        }
         long position = event.path("position").asLong();
         JsonNode choice = event.path("choices").path(0);
         if (choice.path("finish_reason").isTextual()) {
             finishReasonReceived = true;
             String reason = choice.path("finish_reason").asText();
-            inbox.accept(new RouterInput.AnswerEnded(id, position, reason));
+            inbox.accept(new RouterInput.AnswerEnded(attempt, position, reason));
         } else {
             String text = choice.path("delta").path("content").asText();
-            inbox.accept(new RouterInput.TokensArrived(id, position, 1, text));
+            inbox.accept(new RouterInput.TokensArrived(attempt, position, 1, text));
         }
     }
 
--- a/router/src/test/java/org/bramleylatch/router/LateAnswerTest.java
+++ b/router/src/test/java/org/bramleylatch/router/LateAnswerTest.java
@@ -77,6 +77,13 @@
         assertThat(run("b")).isEqualTo(new RouterInput.AnswerEnded(AttemptId.of("b"), 0, "stop"));
     }
 
+    @Test
+    void aStreamThatNamesAnotherAttemptFailsItsOwn() throws Exception {
+        start(attempt -> stream(EngineProtocol.endEvent("another", 0, 1)));
+        assertThat(run("a"))
+                .isEqualTo(failed("a", RunState.UNKNOWN, "an event names another attempt"));
+    }
+
     private RouterInput run(String attempt) throws InterruptedException {
         vertx.runOnContext(
                 run ->
