Ask for the usage of each attempt over a new connection

What a budget could be billed: the tokens of another attempt.

Cause: a keeper keeps its connections to endpoints, and an answer about an attempt's usage doesn't name the attempt. A late copy of the answer before it was taken for the next one's.

Failing before (LateUsageAnswerTest.aLateCopyOfAnAnswerNeverAnswersTheNextQuery): expected: OptionalLong[9] but was: OptionalLong[7]

Change: the client for these queries, which only follow the loss of a router, keeps no connection. anAnswerAfterTheTimeoutNeverAnswersTheNextQuery passed before, too: the runtime's client closes the connection of a call that it gives up.

Measured: LateUsageAnswerTest 2 of 2.

--- a/keeper/src/main/java/org/bramleylatch/keeper/AttemptUsageClient.java
+++ b/keeper/src/main/java/org/bramleylatch/keeper/AttemptUsageClient.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -17,7 +18,10 @@
 import org.bramleylatch.wire.Address;
 import org.bramleylatch.wire.Json;
 
-/** Queries endpoints for the tokens that the attempts of lost routers used. */
+/**
+ * Queries endpoints, each time over a new connection, for the tokens that the attempts of lost
+ * routers used.
+ */
 final class AttemptUsageClient {
     private static final long VM_LIST_INTERVAL_MILLIS = 1_000;
     private static final long QUERY_TIMEOUT_MILLIS = 1_000;
@@ -34,7 +38,8 @@
         this.vertx = vertx;
         this.platform = platform;
         this.inbox = inbox;
-        this.client = WebClient.create(vertx);
+        // An answer doesn't name its attempt.
+        this.client = WebClient.create(vertx, new WebClientOptions().setKeepAlive(false));
     }
 
     /** Starts to poll the platform's list of endpoint VMs. */
