Take no acknowledgement of an append from before the batch was sent

What could happen: a keeper, gateway or administration that appends nothing any more until it restarts.

Cause: the answer to an append is known by its place on the connection alone. If a late copy of an earlier append's answer came and the batch itself was refused, the batch counted as appended: it was never sent again and never read back, and the next one waits for that.

Failing before (LedgerStreamTest.theAnswerToAnEarlierAppendNeverAcknowledgesALaterBatch): Expecting empty but was: [BatchAppended[lastSequence=3]]

Change: a batch is sent once the one before it was read back, so its offset can't lie before the position up to which the ledger was read by then; an answer that names such an offset is a failed append, and the batch is sent again. An answer to an append to another topic, whose offset may be higher, can't be told apart.

Measured: LedgerStreamTest 3 of 3, GatewayTest 8 of 8.

--- a/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
@@ -13,6 +13,7 @@
 import org.bramleylatch.core.LogEntry;
 import org.bramleylatch.core.LogUpdate;
 import org.bramleylatch.core.ResultCode;
+import org.bramleylatch.core.ResultException;
 import org.bramleylatch.core.SequencedRecord;
 import org.bramleylatch.wire.Address;
 import org.bramleylatch.wire.Json;
@@ -107,17 +108,31 @@
                 caughtUp ? waitMillis : 0);
     }
 
-    /** Appends a batch. A failure is only logged: the writer of the batch sends it again. */
+    /**
+     * Appends a batch. A failure is only logged: the writer of the batch sends it again. So is an
+     * offset that was read before the batch was sent: it is that of an earlier append.
+     */
     public void append(List<SequencedRecord> batch) {
         List<String> lines = batch.stream().map(record -> WireEntry.encode(self, record)).toList();
         long lastSequence = batch.get(batch.size() - 1).sequence();
+        long readOffset = cursor.readOffset();
         logService
                 .append(LogStreams.LEDGER, lines)
+                .thenApply(firstOffset -> requireUnread(firstOffset, readOffset))
                 .thenAccept(
                         firstOffset -> onUpdate.accept(new LogUpdate.BatchAppended(lastSequence)))
                 .exceptionally(LedgerStream::logAppendFailure);
     }
 
+    private static long requireUnread(long firstOffset, long readOffset) {
+        if (firstOffset < readOffset) {
+            String detail =
+                    "answer names offset " + firstOffset + ", read up to " + readOffset + " before";
+            throw ResultException.of(ResultCode.LOG_UNAVAILABLE, detail);
+        }
+        return firstOffset;
+    }
+
     /**
      * Reports the records of a page. One that can't be read is skipped by all readers alike, and
      * the cursor moves past it.
--- a/edge/src/test/java/org/bramleylatch/edge/LedgerStreamTest.java
+++ b/edge/src/test/java/org/bramleylatch/edge/LedgerStreamTest.java
@@ -33,6 +33,7 @@
     private final BlockingQueue<LogUpdate> updates = new LinkedBlockingQueue<>();
     private final LedgerStream stream = new LedgerStream(new ListLog(), WRITER, updates::add);
     private Cancellable following = () -> {};
+    private long appendOffset;
 
     @AfterEach
     void stop() {
@@ -67,6 +68,19 @@
                 .containsExactly((long) MORE_THAN_A_SEARCH_COVERS);
     }
 
+    /** Guards against a batch that is never sent again, though the log doesn't have it. */
+    @Test
+    void theAnswerToAnEarlierAppendNeverAcknowledgesALaterBatch() throws Exception {
+        log.add(record(1));
+        log.add(record(2));
+        readToEnd();
+        stream.append(List.of(sequencedRecord(3)));
+        assertThat(updates).isEmpty();
+        appendOffset = 2;
+        stream.append(List.of(sequencedRecord(3)));
+        assertThat(updates).containsExactly(new LogUpdate.BatchAppended(3));
+    }
+
     private List<LogEntry> readToEnd() throws Exception {
         following = stream.follow(PACE);
         List<LogEntry> entries = new ArrayList<>();
@@ -82,10 +96,12 @@
     }
 
     private static String record(long sequence) {
-        return WireEntry.encode(
-                WRITER,
-                new SequencedRecord(
-                        sequence, new LedgerRecord.BudgetFunded(BudgetId.of("ropes"), 100)));
+        return WireEntry.encode(WRITER, sequencedRecord(sequence));
+    }
+
+    private static SequencedRecord sequencedRecord(long sequence) {
+        return new SequencedRecord(
+                sequence, new LedgerRecord.BudgetFunded(BudgetId.of("ropes"), 100));
     }
 
     /** Holds the log in memory; a read at its end stays open. */
@@ -93,7 +109,7 @@
 
         @Override
         public CompletableFuture<Long> append(String stream, List<String> records) {
-            return CompletableFuture.completedFuture(0L);
+            return CompletableFuture.completedFuture(appendOffset);
         }
 
         @Override
