Close the connection of an attempt that failed by what its answer held

What callers saw: 502, or a retry, for a sound request that was sent over the connection of a faulty answer. A late copy of that answer came first; it bore another id, so that the request's attempt ended with an unknown outcome.

Cause: HTTP sees a whole answer, so that the connection went back to the pool. CancelAttempt came too late: the runtime's reset does nothing once the answer has ended, and the call has left the client's table if its end was passed on.

Change: a call that fails closes its connection itself. At that moment the pool does not have it: its answer is not handled to its end, or it was retired when the answer was held. The relay of events reports a gap as it meets it, as it does an event that doesn't go on; the router's own check stays.

Measured: FaultyAnswerTest failed in 3 of 3 cases before (502 or 503 for the next request) and passes now, with RepeatedIdTest, EventRelayTest, the tests of streams, ConnectionReuseTest, LateCopyTest, EndpointClientTest, EndlessAnswerTest, FloodingEndpointTest and AttemptEventsTest.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -244,7 +244,8 @@
 
     /**
      * Closes the connection before the pool can hand it out again, since a late copy of the answer
-     * may follow on it.
+     * may follow on it. The pool has no connection whose answer is not handled to its end: one
+     * whose answer is held was retired.
      */
     private void closeConnection() {
         request.ifPresent(sent -> sent.connection().close());
@@ -350,6 +351,7 @@
         if (!finished) {
             finish();
             reader.ifPresent(AnswerReader::stop);
+            closeConnection();
             inbox.accept(
                     new RouterInput.AttemptFailed(
                             attempt, runState, endpoint + " " + detail, cause));
--- a/gateway/src/main/java/org/bramleylatch/gateway/EventRelay.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EventRelay.java
@@ -90,16 +90,17 @@
     }
 
     /**
-     * Forwards an event with the position of its first token. If the id is not the successor of the
-     * last one, the position is shifted by the events between them, so that the router drops a
-     * repeated event and fails the attempt after a missing one. Such an event does not count as
-     * delivered.
+     * Forwards an event with the position of its first token. A repeated event has an earlier
+     * position, so that the router drops it, and does not count as delivered.
      */
     private Optional<String> forwardTokens(ServerSentEvent event) {
         if (!continuesAnswer(event)) {
             return Optional.of("does not go on after event " + lastEventId.getAsLong());
         }
         long skippedEvents = skippedEvents(event);
+        if (skippedEvents > 0) {
+            return Optional.of("lacks " + skippedEvents + " events at position " + deliveredTokens);
+        }
         long firstTokenPosition = deliveredTokens + skippedEvents * tokensPerEvent;
         if (skippedEvents == 0) {
             deliveredTokens += tokensPerEvent;
