Send no request over a connection that closed after its hand-out

What callers saw: ENDPOINT_FAILED UNKNOWN for a request that was never written, if it may not be tried again.

Cause: the pool hands out a connection, the request is written a turn later, and a close that was read in between was met only by the write. The runtime reports a close a turn after it was read, behind the write.

Change: the row of a connection says whether it has closed, and the request is written two turns after the hand-out. A request whose connection has closed takes another; if the closed one was new, the attempt ends as not run, so that an endpoint that closes each new connection gets one for an attempt.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -175,8 +175,8 @@
     }
 
     /**
-     * Sends the request once all that arrived with the new connection is read, unless the caller
-     * has left or its time is over by then. The router ends such a request itself.
+     * Sends the request once all that arrived with the connection is read. The runtime reports a
+     * close a turn after it was read.
      */
     private void sendLater(
             RouterOutput.StartAttempt start,
@@ -184,18 +184,35 @@
             HttpClientRequest request,
             RequestSpec spec,
             EndpointEntry entry) {
+        connections.add(request.connection());
         vertx.runOnContext(
-                ignored -> {
-                    Optional<CallerExchange> exchange = exchanges.apply(start.request());
-                    if (exchange.isEmpty() || clock.millis() >= spec.deadlineMillis()) {
-                        request.reset();
-                    } else {
-                        sendOrReconnect(start, call, exchange.get(), request, spec, entry);
-                    }
-                });
+                read ->
+                        vertx.runOnContext(
+                                reported -> sendIfNeeded(start, call, request, spec, entry)));
     }
 
-    /** Sends the request, over another connection if this one must not carry it. */
+    /**
+     * Sends the request unless the caller has left or its time is over. The router ends such a
+     * request itself.
+     */
+    private void sendIfNeeded(
+            RouterOutput.StartAttempt start,
+            EndpointCall call,
+            HttpClientRequest request,
+            RequestSpec spec,
+            EndpointEntry entry) {
+        Optional<CallerExchange> exchange = exchanges.apply(start.request());
+        if (exchange.isEmpty() || clock.millis() >= spec.deadlineMillis()) {
+            request.reset();
+        } else {
+            sendOrReconnect(start, call, exchange.get(), request, spec, entry);
+        }
+    }
+
+    /**
+     * Sends the request, over another connection if this one must not carry it. An endpoint that
+     * closes a connection before its first request does so with the next one too.
+     */
     private void sendOrReconnect(
             RouterOutput.StartAttempt start,
             EndpointCall call,
@@ -207,6 +224,8 @@
                 connections.assign(request.connection(), exchange.head().id());
         if (use.isPresent()) {
             sendNow(exchange, call, request, use.get(), spec, entry);
+        } else if (connections.isUnused(request.connection())) {
+            call.connectionFailed(new ConnectException("closed before the request was written"));
         } else {
             request.connection().close();
             connect(start, call, exchange, spec, entry);
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnections.java
@@ -14,13 +14,23 @@
     private final Map<HttpConnection, EndpointConnectionRow> rows = new WeakHashMap<>();
     private long connectionCount;
 
+    /** Adds a connection that the pool has handed out; has no effect if it is known. */
+    void add(HttpConnection connection) {
+        if (!rows.containsKey(connection)) {
+            connectionCount++;
+            rows.put(connection, EndpointConnectionRow.unused(connectionCount));
+            connection.closeHandler(
+                    closed -> rows.computeIfPresent(connection, (key, row) -> row.asClosed()));
+        }
+    }
+
     /**
-     * Assigns a request to a connection.
+     * Assigns a request to a connection that was added.
      *
      * @return the place of the request; empty if the connection must not carry it
      */
     Optional<ConnectionUse> assign(HttpConnection connection, String requestId) {
-        EndpointConnectionRow row = rows.computeIfAbsent(connection, unused -> newRow());
+        EndpointConnectionRow row = rows.get(connection);
         if (!row.mayCarry(requestId)) {
             return Optional.empty();
         }
@@ -29,8 +39,8 @@
         return Optional.of(next.latestUse());
     }
 
-    private EndpointConnectionRow newRow() {
-        connectionCount++;
-        return EndpointConnectionRow.unused(connectionCount);
+    /** Returns true if a connection that was added has carried no request. */
+    boolean isUnused(HttpConnection connection) {
+        return rows.get(connection).isUnused();
     }
 }
