Send a repeated id over a connection of its own, and leave the others open

An attempt that was cancelled before it was written left its id behind. An exception of the second connect was reported to nobody.

Change: such a request gives its connection back unwritten and goes over one that isn't pooled; a connection that is full is retired with its last answer; a cancelled attempt is asked for first; both connects are guarded alike. The four values that every step of sending takes are one record.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -235,9 +235,10 @@
 
     /**
      * Closes the connection at the end of the answer, before the pool can hand it out again, since
-     * a late copy may follow on it, or since it is not read while the answer is held.
+     * a late copy may follow on it, since it is not read while the answer is held, or since it may
+     * carry no further request.
      */
-    private void retireConnection() {
+    void retireConnection() {
         request.ifPresent(
                 sent -> sent.connection().shutdown(MAX_FAILURE_SECONDS, TimeUnit.SECONDS));
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -129,28 +129,26 @@
         }
         EndpointCall call = newCall(start, exchange.get(), spec.get());
         calls.put(start.attempt(), call);
+        connect(
+                clientFor(spec.get()),
+                exchange.get(),
+                new Sending(start, call, spec.get(), entry.get()));
+    }
+
+    private void connect(HttpClient client, CallerExchange exchange, Sending sending) {
         try {
-            connect(start, call, exchange.get(), spec.get(), entry.get());
+            client.request(requestOptions(exchange, sending.entry()))
+                    .onSuccess(request -> sendLater(request, sending))
+                    .onFailure(sending.call()::connectionFailed);
         } catch (RuntimeException refused) {
-            calls.remove(start.attempt());
-            LOG.warn("attempt at {} not started, {}", start.endpoint(), entry.get(), refused);
-            reportNotStarted(
-                    start.attempt(), start.endpoint() + " not connected: " + refused.getMessage());
+            AttemptId attempt = sending.start().attempt();
+            EndpointId endpoint = sending.start().endpoint();
+            calls.remove(attempt);
+            LOG.warn("attempt at {} not started, {}", endpoint, sending.entry(), refused);
+            reportNotStarted(attempt, endpoint + " not connected: " + refused.getMessage());
         }
     }
 
-    private void connect(
-            RouterOutput.StartAttempt start,
-            EndpointCall call,
-            CallerExchange exchange,
-            RequestSpec spec,
-            EndpointEntry entry) {
-        clientFor(spec)
-                .request(requestOptions(exchange, entry))
-                .onSuccess(request -> sendLater(start, call, request, spec, entry))
-                .onFailure(call::connectionFailed);
-    }
-
     private EndpointCall newCall(
             RouterOutput.StartAttempt start, CallerExchange exchange, RequestSpec spec) {
         Consumer<RouterInput> messages = message -> forward(start.attempt(), message);
@@ -178,79 +176,79 @@
      * Sends the request once all that arrived with the connection is read. The runtime reports a
      * close a turn after it was read.
      */
-    private void sendLater(
-            RouterOutput.StartAttempt start,
-            EndpointCall call,
-            HttpClientRequest request,
-            RequestSpec spec,
-            EndpointEntry entry) {
+    private void sendLater(HttpClientRequest request, Sending sending) {
         connections.add(request.connection());
-        vertx.runOnContext(
-                read ->
-                        vertx.runOnContext(
-                                reported -> sendIfNeeded(start, call, request, spec, entry)));
+        request.exceptionHandler(lossBeforeItIsWritten -> {});
+        vertx.runOnContext(read -> vertx.runOnContext(reported -> sendIfNeeded(request, sending)));
     }
 
     /**
-     * Sends the request unless the caller has left or its time is over. The router ends such a
-     * request itself.
+     * Sends the request unless the attempt was cancelled, the caller has left or its time is over.
+     * The router ends such a request itself.
      */
-    private void sendIfNeeded(
-            RouterOutput.StartAttempt start,
-            EndpointCall call,
-            HttpClientRequest request,
-            RequestSpec spec,
-            EndpointEntry entry) {
-        Optional<CallerExchange> exchange = exchanges.apply(start.request());
-        if (exchange.isEmpty() || clock.millis() >= spec.deadlineMillis()) {
+    private void sendIfNeeded(HttpClientRequest request, Sending sending) {
+        Optional<CallerExchange> exchange = exchanges.apply(sending.start().request());
+        boolean isLate = clock.millis() >= sending.spec().deadlineMillis();
+        if (exchange.isEmpty() || isLate || !hasCall(sending.start().attempt())) {
             request.reset();
         } else {
-            sendOrReconnect(start, call, exchange.get(), request, spec, entry);
+            sendOrReconnect(request, exchange.get(), sending);
         }
     }
 
     /**
-     * Sends the request, over another connection if this one must not carry it. An endpoint that
-     * closes a connection before its first request does so with the next one too.
+     * Sends the request, over a connection of its own if this one must not carry it. An endpoint
+     * that closes a connection before its first request does so with the next one too.
      */
     private void sendOrReconnect(
-            RouterOutput.StartAttempt start,
-            EndpointCall call,
-            CallerExchange exchange,
-            HttpClientRequest request,
-            RequestSpec spec,
-            EndpointEntry entry) {
+            HttpClientRequest request, CallerExchange exchange, Sending sending) {
         Optional<ConnectionUse> use =
                 connections.assign(request.connection(), exchange.head().id());
         if (use.isPresent()) {
-            sendNow(exchange, call, request, use.get(), spec, entry);
-        } else if (connections.isUnused(request.connection())) {
-            call.connectionFailed(new ConnectException("closed before the request was written"));
+            sendNow(request, exchange, use.get(), sending);
+            return;
+        }
+        request.reset();
+        if (connections.isUnused(request.connection())) {
+            sending.call()
+                    .connectionFailed(
+                            new ConnectException("closed before the request was written"));
         } else {
-            request.connection().close();
-            connect(start, call, exchange, spec, entry);
+            connect(singleUseClient, exchange, sending);
         }
     }
 
     /** Writes the request; one whose head can't be written was not sent. */
     private void sendNow(
-            CallerExchange exchange,
-            EndpointCall call,
             HttpClientRequest request,
+            CallerExchange exchange,
             ConnectionUse use,
-            RequestSpec spec,
-            EndpointEntry entry) {
+            Sending sending) {
         try {
-            head(exchange, spec, entry).write(exchange.request().headers(), request.headers());
+            head(exchange, sending.spec(), sending.entry())
+                    .write(exchange.request().headers(), request.headers());
         } catch (RuntimeException unwritable) {
-            LOG.warn("head of a request to {} could not be written", entry.id(), unwritable);
+            LOG.warn(
+                    "head of a request to {} could not be written",
+                    sending.entry().id(),
+                    unwritable);
             request.reset();
-            call.connectionFailed(unwritable);
+            sending.call().connectionFailed(unwritable);
             return;
         }
-        call.send(request, use);
+        sending.call().send(request, use);
+        if (connections.isFull(request.connection())) {
+            sending.call().retireConnection();
+        }
     }
 
+    /** Holds what is needed to send an attempt's request once it has a connection. */
+    private record Sending(
+            RouterOutput.StartAttempt start,
+            EndpointCall call,
+            RequestSpec spec,
+            EndpointEntry entry) {}
+
     private void reportNotStarted(AttemptId attempt, String detail) {
         inbox.accept(
                 new RouterInput.AttemptFailed(
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnectionRow.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnectionRow.java
@@ -12,7 +12,7 @@
  * @param closed true if the connection has closed
  */
 record EndpointConnectionRow(long number, ImmutableLongArray idHashes, boolean closed) {
-    /** Bounds the memory for a connection to 1 KB. */
+    /** Bounds the memory for a connection to 1 KB; a connection that has carried as many closes. */
     private static final int MAX_REQUESTS = 128;
 
     /** Creates the row of a connection that has carried no request. */
@@ -25,7 +25,11 @@
      * the same id, and its row has room for a further one.
      */
     boolean mayCarry(String requestId) {
-        return !closed && idHashes.length() < MAX_REQUESTS && !idHashes.contains(hash(requestId));
+        return !closed && !isFull() && !idHashes.contains(hash(requestId));
+    }
+
+    boolean isFull() {
+        return idHashes.length() >= MAX_REQUESTS;
     }
 
     /** Returns true if the connection has carried no request. */
@@ -52,6 +56,7 @@
         return new ConnectionUse(number, idHashes.length());
     }
 
+    /** Hashes an id. Two ids with one hash cost a connection, no more. */
     private static long hash(String requestId) {
         return Hashing.sipHash24().hashString(requestId, StandardCharsets.UTF_8).asLong();
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnections.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointConnections.java
@@ -8,7 +8,7 @@
 /**
  * Decides which requests a connection to an endpoint may carry. An answer names its request by the
  * id alone, and a faulty endpoint may write it a second time, late. So no connection carries an id
- * twice: then an answer that names a request can't be a copy of the answer to an earlier one.
+ * twice: then a whole answer that names a request can't be a copy of the answer to an earlier one.
  */
 final class EndpointConnections {
     private final Map<HttpConnection, EndpointConnectionRow> rows = new WeakHashMap<>();
@@ -39,6 +39,11 @@
         return Optional.of(next.latestUse());
     }
 
+    /** Returns true if a connection that was added may carry no further request. */
+    boolean isFull(HttpConnection connection) {
+        return rows.get(connection).isFull();
+    }
+
     /** Returns true if a connection that was added has carried no request. */
     boolean isUnused(HttpConnection connection) {
         return rows.get(connection).isUnused();
