--- a/proof/src/test/java/org/bramleylatch/proof/SoakCallers.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakCallers.java
@@ -51,6 +51,12 @@
                     random -> random.nextBoolean() ? 0 : random.nextInt(MAX_IDLE_MILLIS),
                     number -> number % 3 == 0);
         }
+
+        /** Returns the habits of callers that send short streams one after the other. */
+        static Habits streaming() {
+            return new Habits(
+                    12, SoakRequestText::shortStream, random -> 0, number -> number % 3 == 0);
+        }
     }
 
     SoakCallers(SoakWorld world, SoakProcess process, Habits habits) {
--- a/proof/src/test/java/org/bramleylatch/proof/SoakPlan.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakPlan.java
@@ -49,6 +49,11 @@
         return List.copyOf(plan.steps);
     }
 
+    /** Returns a plan that stops the process once, halfway. */
+    static List<Step> withOneStop(long endMillis) {
+        return List.of(new Step(endMillis / 2, "planned stop", Soak::stopProcess));
+    }
+
     private void addConfigurations() {
         SoakConfig[] latest = {SoakConfig.first()};
         addSeries(
