--- a/gateway/src/test/java/org/bramleylatch/gateway/AttemptEventsTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/AttemptEventsTest.java
@@ -44,7 +44,7 @@
         addEndpoint((request, socket) -> RawEndpoint.write(socket, success(request)));
         harness.callWithId("/chat/1", "request-1");
         harness.callWithId("/chat/1", "request-2");
-        List<String> answers = events.await(EventKind.ATTEMPT_ANSWERED, 2);
+        List<String> answers = events.await(EventKind.ATTEMPT_ANSWERED, "", 2);
         assertThat(answers.get(0))
                 .contains(
                         "connection=1 status=200 answeredId=request-1 connectionUses=1 signature=")
@@ -58,8 +58,8 @@
         addEndpoint((request, socket) -> RawEndpoint.write(socket, success(request)));
         harness.callWithId("/chat/1", "request-1");
         harness.callWithId("/chat/1", "request-2");
-        List<String> arrived = signatures(events.await(EventKind.ATTEMPT_ANSWERED, 2));
-        List<String> passedOn = signatures(events.await(EventKind.ANSWER_ENDED, 2));
+        List<String> arrived = signatures(events.await(EventKind.ATTEMPT_ANSWERED, "", 2));
+        List<String> passedOn = signatures(events.await(EventKind.ANSWER_ENDED, "signature=", 2));
         assertThat(arrived).doesNotHaveDuplicates();
         assertThat(passedOn).containsSubsequence(arrived);
     }
@@ -69,7 +69,7 @@
             throws Exception {
         addEndpoint((request, socket) -> socket.close());
         harness.callWithId("/chat/1", "request-1");
-        assertThat(events.await(EventKind.ATTEMPT_UNANSWERED, 1))
+        assertThat(events.await(EventKind.ATTEMPT_UNANSWERED, "", 1))
                 .first()
                 .asString()
                 .contains("connection=1 connectionUses=1");
--- a/gateway/src/test/java/org/bramleylatch/gateway/ConnectionReuseTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/ConnectionReuseTest.java
@@ -108,7 +108,7 @@
 
     private void addEndpoint(String service, Behavior behavior) throws Exception {
         endpoint = KeptConnectionEndpoint.add(harness, service, "i-1", behavior);
-        harness.configureForABusyMachineAndAwaitReady();
+        harness.configureAndAwaitReady();
     }
 
     private static void write(Socket socket, String bytes) throws IOException {
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -108,13 +108,21 @@
 
     /**
      * Configures the gateway like {@link #configureAndAwaitReady()}, but so that requests reach
-     * their endpoints on a busy machine too: they need no tokens, and a retry may wait for longer
-     * than an event loop is late.
+     * their endpoints on a busy machine too: they need no tokens, a retry may wait for longer than
+     * an event loop is late, and an endpoint of the back end "llm" is known.
      */
     void configureForABusyMachineAndAwaitReady() throws Exception {
         configureAndAwaitReady(
                 CONFIG.replace("\"targetLatencyMs\": 400", "\"targetLatencyMs\": 5000")
                         .replace(", \"prepaid\": 100000", ""));
+        while (!callBeyondAnyMemory().body().contains("no endpoint has the memory")) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    /** Sends a request that is refused once an endpoint is known, and before as there is none. */
+    private Answer callBeyondAnyMemory() throws Exception {
+        return send(options("/chat/1", "secret").putHeader("token-counts", "100000,100000"));
     }
 
     private void configureAndAwaitReady(String configuration) throws Exception {
--- a/gateway/src/test/java/org/bramleylatch/gateway/RecordedEvents.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RecordedEvents.java
@@ -30,12 +30,12 @@
         logger().detachAppender(this);
     }
 
-    /** Waits for a number of lines of a kind and returns their details. */
-    List<String> await(EventKind kind, int count) throws InterruptedException {
-        while (details(kind).size() < count) {
+    /** Waits for a number of lines of a kind that hold a text, and returns their details. */
+    List<String> await(EventKind kind, String text, int count) throws InterruptedException {
+        while (details(kind, text).size() < count) {
             TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
         }
-        return details(kind);
+        return details(kind, text);
     }
 
     @Override
@@ -43,12 +43,13 @@
         lines.add(event.getFormattedMessage());
     }
 
-    private List<String> details(EventKind kind) {
+    private List<String> details(EventKind kind, String text) {
         return lines.stream()
                 .filter(line -> line.contains("\"event\":\"" + kind + "\""))
                 .map(DETAIL::matcher)
                 .filter(Matcher::find)
                 .map(found -> found.group(1))
+                .filter(detail -> detail.contains(text))
                 .toList();
     }
 
