Write the answers of test endpoints in one place

What they expect is unchanged.

Measured: TornCopyTest, RepeatedIdTest, AttemptEventsTest, ReconnectionTest and FaultyAnswerTest pass on this code.

--- a/gateway/src/test/java/org/bramleylatch/gateway/AttemptEventsTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/AttemptEventsTest.java
@@ -7,7 +7,6 @@
 import java.util.regex.Pattern;
 import org.bramleylatch.core.EventKind;
 import org.bramleylatch.gateway.KeptConnectionEndpoint.Behavior;
-import org.bramleylatch.gateway.KeptConnectionEndpoint.Request;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -41,7 +40,9 @@
 
     @Test
     void anAnswerLeavesALineWithItsConnectionAndWhatItNames() throws Exception {
-        addEndpoint((request, socket) -> RawEndpoint.write(socket, success(request)));
+        addEndpoint(
+                (request, socket) ->
+                        RawEndpoint.write(socket, AnswerText.success(request.id(), EVENT)));
         harness.callWithId("/chat/1", "request-1");
         harness.callWithId("/chat/1", "request-2");
         List<String> answers = events.await(EventKind.ATTEMPT_ANSWERED, "", 2);
@@ -55,7 +56,9 @@
 
     @Test
     void theLineOfWhatACallerGotBearsTheSignatureOfTheAnswerThatArrived() throws Exception {
-        addEndpoint((request, socket) -> RawEndpoint.write(socket, success(request)));
+        addEndpoint(
+                (request, socket) ->
+                        RawEndpoint.write(socket, AnswerText.success(request.id(), EVENT)));
         harness.callWithId("/chat/1", "request-1");
         harness.callWithId("/chat/1", "request-2");
         List<String> arrived = signatures(events.await(EventKind.ATTEMPT_ANSWERED, "", 2));
@@ -87,15 +90,4 @@
                 .map(found -> found.group(1))
                 .toList();
     }
-
-    private static String success(Request request) {
-        return "HTTP/1.1 200 OK\r\nserver-seal: seal-of-"
-                + request.id()
-                + "\r\ncontent-type: text/event-stream\r\nrequest-id: "
-                + request.id()
-                + "\r\ncontent-length: "
-                + EVENT.length()
-                + "\r\n\r\n"
-                + EVENT;
-    }
 }
--- a/gateway/src/test/java/org/bramleylatch/gateway/FaultyAnswerTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/FaultyAnswerTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.concurrent.ExecutionException;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.bramleylatch.gateway.KeptConnectionEndpoint.Behavior;
 import org.bramleylatch.gateway.KeptConnectionEndpoint.Request;
@@ -41,7 +40,7 @@
         addEndpoint(
                 (request, socket) -> {
                     if (request.id().equals("request-1")) {
-                        RawEndpoint.write(socket, success(request.id(), faulty));
+                        RawEndpoint.write(socket, AnswerText.success(request.id(), faulty));
                     } else {
                         writeBehindACopy(faulty, request, socket);
                     }
@@ -55,8 +54,8 @@
     private static Stream<String> faultyStreams() {
         return Stream.of(
                 GatewayHarness.event(1).trim(),
-                "x\n\n" + events(1, 3),
-                events(1, 2) + events(4, 5));
+                "x\n\n" + AnswerText.events(1, 3),
+                AnswerText.events(1, 2) + AnswerText.events(4, 5));
     }
 
     /** Calls; an answer that had begun breaks off. */
@@ -76,25 +75,9 @@
     private static void writeBehindACopy(String faulty, Request request, Socket socket)
             throws IOException, InterruptedException {
         if (request.use() > 1) {
-            RawEndpoint.write(socket, success("request-1", faulty));
+            RawEndpoint.write(socket, AnswerText.success("request-1", faulty));
             Thread.sleep(LATE_MILLIS);
         }
-        RawEndpoint.write(socket, success(request.id(), events(1, 1)));
-    }
-
-    private static String events(int first, int last) {
-        return IntStream.rangeClosed(first, last)
-                .mapToObj(GatewayHarness::event)
-                .reduce("", String::concat);
-    }
-
-    private static String success(String id, String stream) {
-        return "HTTP/1.1 200 OK\r\nserver-seal: seal-1\r\ncontent-type: text/event-stream\r\n"
-                + "request-id: "
-                + id
-                + "\r\ncontent-length: "
-                + stream.length()
-                + "\r\n\r\n"
-                + stream;
+        RawEndpoint.write(socket, AnswerText.success(request.id(), AnswerText.events(1, 1)));
     }
 }
--- a/gateway/src/test/java/org/bramleylatch/gateway/ReconnectionTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/ReconnectionTest.java
@@ -93,14 +93,6 @@
     }
 
     private static void answer(Request request, Socket socket) throws IOException {
-        RawEndpoint.write(
-                socket,
-                "HTTP/1.1 200 OK\r\nserver-seal: seal-1\r\ncontent-type: text/event-stream\r\n"
-                        + "request-id: "
-                        + request.id()
-                        + "\r\ncontent-length: "
-                        + EVENT.length()
-                        + "\r\n\r\n"
-                        + EVENT);
+        RawEndpoint.write(socket, AnswerText.success(request.id(), EVENT));
     }
 }
--- a/gateway/src/test/java/org/bramleylatch/gateway/RepeatedIdTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RepeatedIdTest.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.bramleylatch.gateway.KeptConnectionEndpoint.Behavior;
 import org.bramleylatch.gateway.KeptConnectionEndpoint.Request;
@@ -43,7 +42,7 @@
         addEndpoint(
                 (request, socket) -> {
                     if (isFirst(request)) {
-                        RawEndpoint.write(socket, success(request.id(), faulty));
+                        RawEndpoint.write(socket, AnswerText.success(request.id(), faulty));
                     } else {
                         writeCopyAndFail(request, socket);
                     }
@@ -60,7 +59,8 @@
     @Test
     void theNextAttemptOfAnAnswerThatLacksAnEventGoesOverAnotherConnection() throws Exception {
         assertThatTheNextAttemptGoesOverAnotherConnection(
-                events(1, 4) + events(6, EVENTS), events(5, EVENTS));
+                AnswerText.events(1, 4) + AnswerText.events(6, EVENTS),
+                AnswerText.events(5, EVENTS));
     }
 
     @Test
@@ -68,7 +68,7 @@
         addEndpoint(
                 (request, socket) -> {
                     if (isFirst(request)) {
-                        RawEndpoint.write(socket, success(request.id(), sound()));
+                        RawEndpoint.write(socket, AnswerText.success(request.id(), sound()));
                     } else {
                         writeCopyAndFail(request, socket);
                     }
@@ -79,7 +79,7 @@
 
     /** Returns bodies that are whole by their length. */
     private static Stream<String> streamsWithoutASoundEvent() {
-        return Stream.of(events(1, 1).trim(), "x\n\n" + sound());
+        return Stream.of(AnswerText.events(1, 1).trim(), "x\n\n" + sound());
     }
 
     private void assertThatTheNextAttemptGoesOverAnotherConnection(String faulty, String rest)
@@ -87,7 +87,9 @@
         addEndpoint(
                 (request, socket) ->
                         RawEndpoint.write(
-                                socket, success(request.id(), isFirst(request) ? faulty : rest)));
+                                socket,
+                                AnswerText.success(
+                                        request.id(), isFirst(request) ? faulty : rest)));
         assertThat(harness.callWithId("/chat/1", "request-1").body()).isEqualTo(sound());
         assertThat(endpoint.requests())
                 .hasSize(2)
@@ -104,10 +106,10 @@
     private static void writeCopyAndFail(Request request, Socket socket)
             throws IOException, InterruptedException {
         if (request.use() > 1) {
-            RawEndpoint.write(socket, success(request.id(), sound()));
+            RawEndpoint.write(socket, AnswerText.success(request.id(), sound()));
             Thread.sleep(LATE_MILLIS);
         }
-        RawEndpoint.write(socket, answer("500 Failed", "", request.id(), "no"));
+        RawEndpoint.write(socket, AnswerText.failure(request.id()));
     }
 
     private static boolean isFirst(Request request) {
@@ -115,29 +117,6 @@
     }
 
     private static String sound() {
-        return events(1, EVENTS);
-    }
-
-    private static String events(int first, int last) {
-        return IntStream.rangeClosed(first, last)
-                .mapToObj(GatewayHarness::event)
-                .reduce("", String::concat);
-    }
-
-    private static String success(String id, String stream) {
-        return answer("200 OK", "content-type: text/event-stream\r\n", id, stream);
-    }
-
-    private static String answer(String status, String headers, String id, String body) {
-        return "HTTP/1.1 "
-                + status
-                + "\r\nserver-seal: seal-1\r\nrequest-id: "
-                + id
-                + "\r\n"
-                + headers
-                + "content-length: "
-                + body.length()
-                + "\r\n\r\n"
-                + body;
+        return AnswerText.events(1, EVENTS);
     }
 }
--- a/gateway/src/test/java/org/bramleylatch/gateway/TornCopyTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/TornCopyTest.java
@@ -51,9 +51,10 @@
                         "i-1",
                         (request, socket) -> {
                             if (request.id().equals("request-1")) {
-                                RawEndpoint.write(socket, success(request.id()) + torn);
+                                RawEndpoint.write(
+                                        socket, AnswerText.success(request.id(), EVENT) + torn);
                             } else {
-                                RawEndpoint.write(socket, failure(request.id()));
+                                RawEndpoint.write(socket, AnswerText.failure(request.id()));
                             }
                         });
         harness.configureForABusyMachineAndAwaitReady();
@@ -73,38 +74,15 @@
                         "i-1",
                         (request, socket) -> {
                             if (request.id().equals("request-1")) {
-                                RawEndpoint.write(socket, success(request.id()));
+                                RawEndpoint.write(socket, AnswerText.success(request.id(), EVENT));
                             } else {
                                 RawEndpoint.write(socket, request.use() > 1 ? torn : "");
                                 Thread.sleep(LATE_MILLIS);
-                                RawEndpoint.write(socket, failure(request.id()));
+                                RawEndpoint.write(socket, AnswerText.failure(request.id()));
                             }
                         });
         harness.configureForABusyMachineAndAwaitReady();
         assertThat(harness.callWithId("/chat/1", "request-1").status()).isEqualTo(200);
         assertThat(harness.callWithId("/chat/1", "request-2").status()).isNotEqualTo(200);
     }
-
-    private static String success(String id) {
-        return answer("200 OK", "content-type: text/event-stream\r\n", id, EVENT);
-    }
-
-    private static String failure(String id) {
-        return answer("500 Failed", "", id, "no");
-    }
-
-    private static String answer(String status, String headers, String id, String body) {
-        return "HTTP/1.1 "
-                + status
-                + "\r\nserver-seal: seal-of-"
-                + id
-                + "\r\nrequest-id: "
-                + id
-                + "\r\n"
-                + headers
-                + "content-length: "
-                + body.length()
-                + "\r\n\r\n"
-                + body;
-    }
 }
