Bound what a dead holder may have spent by limits with a pace

Cause: what a dead process may have used was bounded by what it held. A successor freed tokens only if its predecessor had been dark for less than 4 s, and then half of them.

Change: a heartbeat names for each grant how much its holder may have spent, and by how much that rises with time. A holder keeps within the lowest limit of the heartbeats that may be the last in the log; its successor freezes what the last one allowed until it started, less what was billed. The switch at 4 s and the half that was kept back are gone, and with them the wish for whole grants. The Alloy model got limits and their pace first; each rule that a test removes from it overspends.

--- a/core/src/main/java/org/bramleylatch/core/AppendSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/AppendSystem.java
@@ -7,10 +7,8 @@
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
-        if (limits.limitsUsableShare() && world.isLogLost() && !world.writer().hasBatchInFlight()) {
-            // Each new batch starts with a heartbeat, and each heartbeat postpones the time from
-            // which
-            // the keeper may use its whole grants.
+        if (limits.spendingLimited() && world.isLogLost() && !world.writer().hasBatchInFlight()) {
+            // Each new batch starts with a heartbeat, whose limits apply from then on.
             return;
         }
         world.writer()
@@ -23,8 +21,8 @@
     }
 
     private Optional<LedgerRecord> batchHeader(KeeperWorld world, long nowMillis) {
-        return limits.limitsUsableShare()
-                ? Optional.of(UsableShareSystem.heartbeat(world, limits, nowMillis))
+        return limits.spendingLimited()
+                ? Optional.of(SpendingLimitSystem.heartbeat(world, nowMillis))
                 : Optional.empty();
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
+++ b/core/src/main/java/org/bramleylatch/core/DemandGrantPolicy.java
@@ -37,12 +37,9 @@
     }
 
     private long targetTokens(GrantView view) {
-        double ownDemand = Math.max(1, view.demandTokensPerHour());
-        double shareTokens =
-                view.spendableTokens() * ownDemand / (ownDemand + view.othersDemandTokensPerHour());
         double demandTokens = view.demandTokensPerHour() * horizonHours;
         double horizonTokens = demandTokens + marginTokens(view, demandTokens) + smallestTokens;
-        return (long) Math.max(0, Math.min(shareTokens, horizonTokens));
+        return (long) Math.max(0, Math.min(view.shareTokens(), horizonTokens));
     }
 
     /** The number of random arrivals has its mean as variance. */
--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -61,8 +61,6 @@
     KEEPER_SILENT,
     /** A keeper proposed to freeze all or part of the grants of its earlier incarnation. */
     HOLDER_FROZEN,
-    /** A keeper needs the last tokens of its grant and tells the log before it uses them. */
-    WHOLE_GRANT_WANTED,
     /** A keeper asked for free tokens of a budget. */
     GRANT_ASKED,
     /** A keeper returned unused tokens of its grant to the budget. */
--- a/core/src/main/java/org/bramleylatch/core/GrantSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantSystem.java
@@ -23,54 +23,23 @@
                 && hasNothingInFlight
                 && !world.isStopping()
                 && world.isLogReachable()) {
-            long demandTokensPerHour = Math.round(grantUse.get().demandTokensPerHourAt(nowMillis));
-            long requestTokens = grantUse.get().requestTokens();
-            execute(
-                    world,
-                    budget,
-                    policy.plan(
-                            createView(world, budgetRow.get(), demandTokensPerHour, requestTokens)),
-                    demandTokensPerHour);
+            GrantView view = viewOf(world, budgetRow.get(), nowMillis);
+            execute(world, budget, policy.plan(view), view.demandTokensPerHour());
         }
     }
 
-    private GrantView createView(
-            KeeperWorld world, BudgetRow budgetRow, long demandTokensPerHour, long requestTokens) {
+    /** Returns what the policy decides on, for a budget that this keeper uses. */
+    static GrantView viewOf(KeeperWorld world, BudgetRow budgetRow, long nowMillis) {
+        BudgetId budget = budgetRow.id();
+        Optional<GrantUseRow> use = world.grantUses().find(budget);
         return new GrantView(
                 budgetRow,
-                world.ledger().grantsOf(budgetRow.id()),
+                world.ledger().grantsOf(budget),
                 world.self(),
-                world.idleTokens(budgetRow.id()),
-                neededIdleTokens(world, budgetRow.id()),
-                demandTokensPerHour,
-                requestTokens);
-    }
-
-    private static long waitingTokens(KeeperWorld world, BudgetId budget) {
-        return world.waitingReservations()
-                .rows()
-                .filter(row -> row.budget().equals(budget))
-                .mapToLong(ReservationRow::tokens)
-                .sum();
-    }
-
-    /**
-     * Returns how many idle tokens this keeper needs for its usable share to cover the waiting
-     * requests.
-     */
-    private static long neededIdleTokens(KeeperWorld world, BudgetId budget) {
-        long missingTokens = missingTokens(world, budget);
-        return missingTokens > 0
-                ? world.idleTokens(budget) + missingTokens
-                : Math.min(waitingTokens(world, budget), world.idleTokens(budget));
-    }
-
-    private static long missingTokens(KeeperWorld world, BudgetId budget) {
-        long missingTokens = waitingTokens(world, budget) - world.availableTokens(budget);
-        long wholePermille = UsableShareSystem.WHOLE_PERMILLE;
-        return missingTokens <= 0
-                ? 0
-                : -Math.floorDiv(-missingTokens * wholePermille, world.usablePermille(budget));
+                world.idleTokens(budget),
+                world.waitingTokens(budget),
+                use.map(row -> Math.round(row.demandTokensPerHourAt(nowMillis))).orElse(0L),
+                use.map(GrantUseRow::requestTokens).orElse(0L));
     }
 
     private static void execute(
@@ -78,27 +47,16 @@
         if (plan.askTokens() > 0) {
             ask(world, budget, plan.askTokens(), demandTokensPerHour);
         } else if (plan.returnTokens() > 0) {
-            long tokens = Math.min(plan.returnTokens(), returnableTokens(world, budget));
+            long tokens = Math.min(plan.returnTokens(), world.idleTokens(budget));
             if (tokens > 0) {
                 returnTokens(world, budget, tokens);
             }
         }
     }
 
-    /**
-     * Returns how many tokens can be returned such that the committed ones stay within the usable
-     * share.
-     */
-    private static long returnableTokens(KeeperWorld world, BudgetId budget) {
-        long wholePermille = UsableShareSystem.WHOLE_PERMILLE;
-        long committedTokens = world.openTokens(budget) - world.idleTokens(budget);
-        return world.openTokens(budget)
-                + Math.floorDiv(-committedTokens * wholePermille, world.usablePermille(budget));
-    }
-
     private static void ask(
             KeeperWorld world, BudgetId budget, long tokens, long demandTokensPerHour) {
-        long neededTokens = missingTokens(world, budget);
+        long neededTokens = Math.max(0, world.waitingTokens(budget) - world.idleTokens(budget));
         world.append(
                 new LedgerRecord.GrantAsked(
                         budget, world.self(), tokens, neededTokens, demandTokensPerHour));
--- a/core/src/main/java/org/bramleylatch/core/GrantUseRow.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantUseRow.java
@@ -38,6 +38,11 @@
         return reservedTokens + pendingTokens + returningTokens;
     }
 
+    /** Returns the tokens that requests may have used and that are not billed in the log. */
+    long spentTokens() {
+        return reservedTokens + pendingTokens;
+    }
+
     /** Returns the row with the reserved tokens changed by the given amount. */
     public GrantUseRow addReserved(long tokens) {
         return with(reservedTokens + tokens, pendingTokens, returningTokens, askInFlight);
--- a/core/src/main/java/org/bramleylatch/core/GrantView.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantView.java
@@ -8,8 +8,7 @@
  * @param grants the grants of all holders, including this keeper's if it has one
  * @param self the keeper whose grant is to be sized
  * @param idleTokens what this keeper holds and has not committed to requests
- * @param neededIdleTokens how many idle tokens this keeper needs to serve the waiting requests, of
- *     which it may use only its usable share; at most idleTokens if it can serve them now
+ * @param neededIdleTokens how many idle tokens this keeper needs to serve the waiting requests
  * @param demandTokensPerHour this keeper's forecast
  * @param requestTokens the mean reservation of recent requests; 0 if there was none
  */
@@ -60,6 +59,12 @@
         return budget.paidTokens() - budget.settledTokens() - frozenTokens;
     }
 
+    /** Returns this keeper's share of the spendable tokens, by forecast demand. */
+    public long shareTokens() {
+        double ownDemand = Math.max(1, demandTokensPerHour);
+        return (long) (spendableTokens() * ownDemand / (ownDemand + othersDemandTokensPerHour()));
+    }
+
     private boolean isOwn(GrantRow grant) {
         return grant.key().holder().equals(self);
     }
--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -280,7 +280,7 @@
         }
 
         private void appendFirstHeartbeat() {
-            if (limits.limitsUsableShare()) {
+            if (limits.spendingLimited()) {
                 world.writer().addEmptyBatch();
             }
         }
--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -20,9 +20,8 @@
  * @param snapshotEveryMillis the time after which a snapshot is due; each keeper adds up to a
  *     quarter
  * @param demandHalfLifeMillis the half-life of past demand in the forecast of a budget's demand
- * @param usablePermille the share of a grant that may be used while the log answers, in thousandths
- * @param fullGrantAfterMillis how long after its last heartbeat a keeper that can't reach the log
- *     may use its whole grants
+ * @param spendingLimited true if heartbeats limit what the keeper spends; false if its grants alone
+ *     do
  * @param waitsWhileLogUnreachable true if a request that lacks tokens waits even while the log is
  *     unreachable
  * @param usageSummed true if usage is billed in sums without request keys, which is safe only if no
@@ -41,8 +40,7 @@
         int snapshotEveryRecords,
         long snapshotEveryMillis,
         long demandHalfLifeMillis,
-        int usablePermille,
-        long fullGrantAfterMillis,
+        boolean spendingLimited,
         boolean waitsWhileLogUnreachable,
         boolean usageSummed) {
     private static final long STANDALONE_DEMAND_HALF_LIFE_MILLIS = 10 * 60 * 1_000L;
@@ -64,14 +62,6 @@
     /** A router that reconnects within this time still reports the usage of its requests itself. */
     private static final long RETRY_GRACE_MILLIS = 10_000;
 
-    /** Half of a grant sized for 9 s lasts longer than FULL_GRANT_AFTER_MILLIS. */
-    private static final int USABLE_PERMILLE = 500;
-
-    /**
-     * Longer than a VM takes to run again after a power loss, plus the age of the last heartbeat.
-     */
-    private static final long FULL_GRANT_AFTER_MILLIS = 4_000;
-
     private static final long ORPHAN_RETRY_MILLIS = 1_000;
     private static final long REVIEW_INTERVAL_MILLIS = 1_000;
     private static final int MAX_BATCH_RECORDS = 500;
@@ -101,8 +91,7 @@
                 20_000,
                 600_000,
                 STANDALONE_DEMAND_HALF_LIFE_MILLIS,
-                UsableShareSystem.WHOLE_PERMILLE,
-                0,
+                false,
                 true,
                 false);
     }
@@ -117,11 +106,6 @@
         return with(millis, snapshotEveryRecords);
     }
 
-    /** Returns true if a keeper limits its use of grants and appends heartbeats that prove it. */
-    boolean limitsUsableShare() {
-        return usablePermille < UsableShareSystem.WHOLE_PERMILLE;
-    }
-
     private KeeperLimits with(long graceMillis, int snapshotRecords) {
         return new KeeperLimits(
                 reserveWaitMillis,
@@ -136,8 +120,7 @@
                 snapshotRecords,
                 snapshotEveryMillis,
                 demandHalfLifeMillis,
-                usablePermille,
-                fullGrantAfterMillis,
+                spendingLimited,
                 waitsWhileLogUnreachable,
                 usageSummed);
     }
@@ -161,8 +144,7 @@
                 SNAPSHOT_EVERY_RECORDS,
                 Math.min(SNAPSHOT_EVERY_MILLIS, retentionMillis / SNAPSHOTS_PER_RETENTION),
                 DEMAND_HALF_LIFE_MILLIS,
-                USABLE_PERMILLE,
-                FULL_GRANT_AFTER_MILLIS,
+                true,
                 false,
                 true);
     }
--- a/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperSystems.java
@@ -15,10 +15,10 @@
             GrantPolicy policy, KeeperLimits limits, FailureHandler failures) {
         return Schedule.of(
                 failures,
+                new SpendingLimitSystem(limits),
                 new KeeperInboxSystem(limits, failures),
                 new KeeperTimerSystem(limits, failures),
                 new FundingSystem(),
-                new UsableShareSystem(limits),
                 new SuccessionSystem(limits),
                 new ReservationSystem(limits),
                 new GrantSystem(policy),
--- a/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
@@ -77,11 +77,22 @@
         idle.forEach(row -> world.grantUses().remove(row.budget()));
         world.grantUses().keys().forEach(world.changedBudgets()::add);
         if (world.grantUses().size() > 0) {
+            renewHeartbeat(world, nowMillis);
             world.timers().set(due, nowMillis + limits.reviewIntervalMillis());
         }
         return true;
     }
 
+    /** Sends a heartbeat if no batch had one for a while, as its limits rise with its age. */
+    private void renewHeartbeat(KeeperWorld world, long nowMillis) {
+        long dueMillis =
+                world.spendingLimits().lastMillis().orElse(nowMillis)
+                        + limits.reviewIntervalMillis();
+        if (limits.spendingLimited() && world.isLogReachable() && nowMillis >= dueMillis) {
+            world.writer().addEmptyBatch();
+        }
+    }
+
     private static boolean isIdle(KeeperWorld world, GrantUseRow row, long nowMillis) {
         return row.committedTokens() == 0
                 && !row.askInFlight()
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -23,8 +23,7 @@
     private final Table<String, RouterReport> routerReports = Table.empty();
     private final Set<BudgetId> changedBudgets = new HashSet<>();
     private final Table<BudgetId, BudgetFunds> configuredFunds = Table.empty();
-    private final Set<BudgetId> wholeGrantsWanted = new HashSet<>();
-    private final Set<BudgetId> wholeGrantsConfirmed = new HashSet<>();
+    private final SpendingLimits spendingLimits = new SpendingLimits();
     private final Set<Incarnation> takeoversInFlight = new HashSet<>();
     private final Set<Incarnation> predecessors = new LinkedHashSet<>();
     private final Table<String, ClockOffsetRow> clockOffsets = Table.empty();
@@ -37,8 +36,6 @@
     private boolean logReachable;
     private boolean logLost;
     private boolean caughtUp;
-    private int usablePermille = UsableShareSystem.WHOLE_PERMILLE;
-    private long lastHeartbeatMillis;
     private long bootMillis;
     private long startMillis;
     private boolean stopping;
@@ -153,12 +150,27 @@
         return stopping;
     }
 
-    /** Returns how many more tokens this keeper may reserve now, within its usable share. */
+    /** Returns how many more tokens this keeper may reserve now, within its spending limits. */
     public long availableTokens(BudgetId budget) {
-        long returningTokens = grantUses.find(budget).map(GrantUseRow::returningTokens).orElse(0L);
-        long keptTokens = openTokens(budget) - returningTokens;
-        long usableTokens = keptTokens * usablePermille(budget) / UsableShareSystem.WHOLE_PERMILLE;
-        return usableTokens - committedTokens(budget) + returningTokens;
+        return Math.min(idleTokens(budget), spendingLimits.tokensOf(budget) - spentTokens(budget));
+    }
+
+    /**
+     * Returns how many tokens of its grant this keeper has spent: those that were billed, those
+     * used and not yet billed, and those reserved.
+     */
+    long spentTokens(BudgetId budget) {
+        long settledTokens = ledger.grant(budget, self).map(GrantRow::settledTokens).orElse(0L);
+        return settledTokens + grantUses.find(budget).map(GrantUseRow::spentTokens).orElse(0L);
+    }
+
+    /** Returns how many tokens the waiting requests need. */
+    long waitingTokens(BudgetId budget) {
+        return waitingReservations
+                .rows()
+                .filter(row -> row.budget().equals(budget))
+                .mapToLong(ReservationRow::tokens)
+                .sum();
     }
 
     /** Returns how many tokens this keeper holds that are not reserved, used or being returned. */
@@ -175,39 +187,9 @@
         return grantUses.find(budget).map(GrantUseRow::committedTokens).orElse(0L);
     }
 
-    /** Returns the share of its grant of the budget that this keeper may use, in thousandths. */
-    int usablePermille(BudgetId budget) {
-        return wholeGrantsConfirmed.contains(budget)
-                ? UsableShareSystem.WHOLE_PERMILLE
-                : usablePermille;
-    }
-
-    /**
-     * Contains the budgets whose whole grants this keeper wants to use; its heartbeats name them.
-     */
-    Set<BudgetId> wholeGrantsWanted() {
-        return wholeGrantsWanted;
-    }
-
-    /**
-     * Contains the budgets whose whole grants this keeper may use, as every heartbeat that may be
-     * its last one in the log names them.
-     */
-    Set<BudgetId> wholeGrantsConfirmed() {
-        return wholeGrantsConfirmed;
-    }
-
-    void setUsablePermille(int permille) {
-        usablePermille = permille;
-    }
-
-    /** Returns the time of the last heartbeat that this keeper queued, 0 before the first. */
-    long lastHeartbeatMillis() {
-        return lastHeartbeatMillis;
-    }
-
-    void setLastHeartbeatMillis(long millis) {
-        lastHeartbeatMillis = millis;
+    /** Contains this keeper's heartbeats that limit what it spends. */
+    SpendingLimits spendingLimits() {
+        return spendingLimits;
     }
 
     long bootMillis() {
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -236,41 +236,39 @@
     }
 
     private Optional<ResultCode> recordHeartbeat(HolderHeartbeat record) {
+        if (!record.limits().stream().allMatch(SpendingLimit::isInRange)) {
+            return Optional.of(ResultCode.FIELD_INVALID);
+        }
         ledger.holders().put(record.holder(), HolderRow.of(record));
         return ACCEPTED;
     }
 
     private Optional<ResultCode> takeOverHolder(HolderTakenOver record) {
-        if (record.usedPermille() < 0 || record.usedPermille() > UsableShareSystem.WHOLE_PERMILLE) {
-            return Optional.of(ResultCode.FIELD_INVALID);
-        }
-        if (hasSuccessor(record.holder())) {
+        Optional<HolderRow> holder =
+                ledger.holders().find(record.holder()).filter(row -> !row.succeeded());
+        if (holder.isEmpty()) {
             return Optional.of(ResultCode.GRANT_UNKNOWN);
         }
-        Optional<HolderRow> row =
-                ledger.holders().update(record.holder(), HolderRow::withSuccessor);
-        List<BudgetId> budgetsBeyondShare = row.map(HolderRow::beyondShare).orElse(List.of());
+        if (record.endMillis() < holder.get().stampMillis()) {
+            return Optional.of(ResultCode.FIELD_INVALID);
+        }
+        ledger.holders().put(record.holder(), holder.get().withSuccessor());
         List<GrantKey> heldGrants =
                 ledger.grants().keys().filter(key -> key.holder().equals(record.holder())).toList();
         heldGrants.forEach(
                 key ->
-                        returnUnused(
-                                key,
-                                budgetsBeyondShare.contains(key.budget())
-                                        ? UsableShareSystem.WHOLE_PERMILLE
-                                        : record.usedPermille()));
+                        returnUnspent(
+                                key, holder.get().spentTokensAt(key.budget(), record.endMillis())));
         return ACCEPTED;
     }
 
-    private void returnUnused(GrantKey key, int usedPermille) {
+    /** Freezes what the holder may have spent and not billed, and returns the rest. */
+    private void returnUnspent(GrantKey key, long spentTokens) {
         GrantRow grant = ledger.grants().find(key).orElseThrow();
-        // Rounded up, so that no token that may have been used becomes free.
-        long usedTokens =
-                -Math.floorDiv(
-                        -grant.openTokens() * usedPermille, UsableShareSystem.WHOLE_PERMILLE);
-        long unusedTokens = grant.frozen() ? 0 : grant.openTokens() - usedTokens;
-        ledger.grants().put(key, grant.returnTokens(unusedTokens).freeze());
-        ledger.budgets().update(key.budget(), row -> row.addOpen(-unusedTokens));
+        long unbilledTokens = Math.max(0, spentTokens - grant.settledTokens());
+        long unspentTokens = grant.frozen() ? 0 : Math.max(0, grant.openTokens() - unbilledTokens);
+        ledger.grants().put(key, grant.returnTokens(unspentTokens).freeze());
+        ledger.budgets().update(key.budget(), row -> row.addOpen(-unspentTokens));
         serveWaitingHolders(key.budget());
     }
 
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -75,31 +75,36 @@
      *     writer's clock, in milliseconds since the epoch
      * @param heartbeatMillis the time of the heartbeat, by the same clock
      * @param clockAgreed true if most of the fleet's clocks agreed with the writer's
-     * @param beyondShare the budgets for which the writer had committed more than the usable share
-     *     of its grant
+     * @param limits what the writer may spend at most of each of its grants; nothing of one that is
+     *     not named
      */
     record HolderHeartbeat(
             Incarnation holder,
             long bootMillis,
             long heartbeatMillis,
             boolean clockAgreed,
-            List<BudgetId> beyondShare)
+            List<SpendingLimit> limits)
             implements HolderRecord {
 
         /** Copies the list. */
         public HolderHeartbeat {
-            beyondShare = List.copyOf(beyondShare);
+            limits = List.copyOf(limits);
+        }
+
+        /** Returns what the writer may have spent of its grant at most, at the given time. */
+        long limitAt(BudgetId budget, long nowMillis) {
+            return SpendingLimit.tokensAfter(limits, budget, nowMillis - heartbeatMillis);
         }
     }
 
     /**
-     * Ends a holder whose successor proved that it used at most a share of its grants. The rest
-     * becomes free; what it may have used stays frozen, which is the whole grant of a budget that
-     * it reported as beyond its share.
+     * Ends a holder whose successor knows when it had ended at the latest. What it may have spent
+     * by then, according to the limits of its last heartbeat, stays frozen; the rest becomes free.
      *
-     * @param usedPermille the share, in thousandths
+     * @param endMillis the latest time at which the holder can have ended, by the clock of its
+     *     heartbeats
      */
-    record HolderTakenOver(Incarnation holder, int usedPermille) implements LedgerRecord {}
+    record HolderTakenOver(Incarnation holder, long endMillis) implements LedgerRecord {}
 
     /**
      * Freezes the grants of a holder that is presumed down without proof, or whose successor cannot
--- a/core/src/main/java/org/bramleylatch/core/LogReplay.java
+++ b/core/src/main/java/org/bramleylatch/core/LogReplay.java
@@ -60,7 +60,7 @@
                 .on(UsageSummed.class, summed -> endSum(world, summed))
                 .on(
                         LedgerRecord.HolderHeartbeat.class,
-                        heartbeat -> UsableShareSystem.confirm(world, heartbeat))
+                        heartbeat -> SpendingLimitSystem.confirm(world, heartbeat))
                 .accept(ownRecord.record());
     }
 
--- a/core/src/main/java/org/bramleylatch/core/ReservationRequests.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservationRequests.java
@@ -79,11 +79,11 @@
         }
         recordDemand(ask);
         if (world.availableTokens(ask.budget()) < ask.tokens()) {
-            if (!world.isLogLost() && ReservationSystem.isCoveredWithFreeTokens(world, row)) {
+            if (SpendingLimitSystem.canWaitForHeartbeat(world, limits, row)) {
+                world.writer().addEmptyBatch();
                 return enqueue(row, BORROWED_WAIT_MILLIS);
             }
-            if (UsableShareSystem.canWaitForWholeGrant(world, limits, row)) {
-                UsableShareSystem.wantWholeGrant(world, row.budget());
+            if (!world.isLogLost() && ReservationSystem.isCoveredWithFreeTokens(world, row)) {
                 return enqueue(row, BORROWED_WAIT_MILLIS);
             }
             world.outbox()
--- a/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
@@ -51,8 +51,8 @@
     private void reserveOrRefuse(KeeperWorld world, ReservationRow row) {
         if (world.availableTokens(row.budget()) >= row.tokens()) {
             reserveAndNotify(world, row);
-        } else if (UsableShareSystem.canWaitForWholeGrant(world, limits, row)) {
-            UsableShareSystem.wantWholeGrant(world, row.budget());
+        } else if (SpendingLimitSystem.canWaitForHeartbeat(world, limits, row)) {
+            world.writer().addEmptyBatch();
         } else if (cannotBeServedInTime(world, row)
                 || shortageCode(world, row) != ResultCode.BUDGET_UNAVAILABLE) {
             refuse(world, row);
@@ -70,16 +70,11 @@
                                 && !findLenders(world, row).isEmpty());
     }
 
-    /**
-     * Returns true if the usable share of the free tokens and this keeper's available ones cover
-     * the request.
-     */
+    /** Returns true if the free tokens and this keeper's idle ones cover the request. */
     static boolean isCoveredWithFreeTokens(KeeperWorld world, ReservationRow row) {
         long freeTokens =
                 world.ledger().budgets().find(row.budget()).map(BudgetRow::freeTokens).orElse(0L);
-        long usableTokens =
-                freeTokens * world.usablePermille(row.budget()) / UsableShareSystem.WHOLE_PERMILLE;
-        return usableTokens + world.availableTokens(row.budget()) >= row.tokens();
+        return freeTokens + world.idleTokens(row.budget()) >= row.tokens();
     }
 
     /** Returns the holders with enough tokens according to the ledger, the largest grant first. */
--- a/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
@@ -2,13 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Takes over the grants of earlier incarnations of this process on the same VM, which must have
- * ended because this one runs. The tokens that they may have used stay frozen. The rest is returned
- * to the budget if their last heartbeat proves that they kept to their usable share. The proof uses
- * the monotonic clock of the VM or, after a restart of the VM, the time of day that a majority of
- * the fleet agrees on.
+ * ended because this one runs. The tokens that they may have spent by then stay frozen. The rest is
+ * returned to the budget if it is known when they had ended at the latest: by the monotonic clock
+ * of the VM or, after a restart of the VM, by the time of day that a majority of the fleet agrees
+ * on.
  */
 record SuccessionSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
     /** VMs that lost power together are running again within this time. */
@@ -35,42 +36,40 @@
 
     private void decideSuccession(KeeperWorld world, Incarnation holder, long nowMillis) {
         Optional<HolderRow> row = world.ledger().holders().find(holder);
-        boolean isProved =
-                row.filter(found -> endedWithinShare(world, found, nowMillis)).isPresent();
+        OptionalLong endMillis =
+                row.map(found -> latestEnd(world, found, nowMillis)).orElse(OptionalLong.empty());
         long waitEndMillis = world.startMillis() + CLOCK_WAIT_MILLIS;
         boolean canStillBeProved = row.filter(HolderRow::clockAgreed).isPresent();
-        if (isProved || !canStillBeProved || nowMillis >= waitEndMillis) {
+        if (endMillis.isPresent() || !canStillBeProved || nowMillis >= waitEndMillis) {
             world.predecessors().remove(holder);
-            appendTakeover(world, holder, row, isProved);
+            appendTakeover(world, holder, row, endMillis);
         } else {
             world.timers().set(new KeeperTimer.ClockTimeout(), waitEndMillis);
         }
     }
 
-    private void appendTakeover(
-            KeeperWorld world, Incarnation holder, Optional<HolderRow> row, boolean isProved) {
+    private static void appendTakeover(
+            KeeperWorld world, Incarnation holder, Optional<HolderRow> row, OptionalLong end) {
         if (world.takeoversInFlight().add(holder)) {
             world.append(
-                    isProved
-                            ? new LedgerRecord.HolderTakenOver(holder, limits.usablePermille())
+                    end.isPresent()
+                            ? new LedgerRecord.HolderTakenOver(holder, end.getAsLong())
                             : new LedgerRecord.HolderFrozen(holder));
             world.note(
                     EventKind.HOLDER_FROZEN,
                     holder,
-                    "successor=" + world.self() + " withinShare=" + isProved + " last=" + row);
+                    "successor=" + world.self() + " end=" + end + " last=" + row);
         }
     }
 
-    private boolean endedWithinShare(KeeperWorld world, HolderRow row, long nowMillis) {
-        long fullGrantAfterMillis = limits.fullGrantAfterMillis();
-        long startMillis = world.startMillis();
-        boolean byMonotonicClock =
-                row.endedWithinByMonotonicClock(
-                        fullGrantAfterMillis, startMillis, world.bootMillis());
-        boolean byFleetClock =
-                row.endedWithinByFleetClock(
-                                fullGrantAfterMillis, startMillis, ClockAgreement.TOLERANCE_MILLIS)
-                        && ClockAgreement.hasMajority(world, nowMillis);
-        return limits.limitsUsableShare() && (byMonotonicClock || byFleetClock);
+    private OptionalLong latestEnd(KeeperWorld world, HolderRow row, long nowMillis) {
+        OptionalLong byMonotonicClock =
+                row.endByMonotonicClock(world.startMillis(), world.bootMillis());
+        if (!limits.spendingLimited()) {
+            return OptionalLong.empty();
+        }
+        return byMonotonicClock.isPresent() || !ClockAgreement.hasMajority(world, nowMillis)
+                ? byMonotonicClock
+                : row.endByFleetClock(world.startMillis(), ClockAgreement.TOLERANCE_MILLIS);
     }
 }
--- a/proof/src/test/java/org/bramleylatch/proof/BudgetSpecTest.java
+++ b/proof/src/test/java/org/bramleylatch/proof/BudgetSpecTest.java
@@ -59,4 +59,24 @@
         assertThat(SPEC.withoutLine("unkeyed").hasCounterexampleTo("EachRequestIsBilledOnce"))
                 .isTrue();
     }
+
+    /** Guards against tokens given out twice, as a successor frees some that may have been used. */
+    @Test
+    void aReservationBeyondTheLimitInTheLogOverspends() {
+        assertThat(SPEC.withoutLine("unlimited").hasCounterexampleTo("SpendStaysWithinWhatWasPaid"))
+                .isTrue();
+    }
+
+    /** Guards against a heartbeat that replaces the limit which the keeper relied on. */
+    @Test
+    void aReservationBeyondTheLimitOfAHeartbeatOnItsWayOverspends() {
+        assertThat(SPEC.withoutLine("overtaken").hasCounterexampleTo("SpendStaysWithinWhatWasPaid"))
+                .isTrue();
+    }
+
+    @Test
+    void aSuccessorThatDisregardsTheTimeSinceTheHeartbeatOverspends() {
+        assertThat(SPEC.withoutLine("unpaced").hasCounterexampleTo("SpendStaysWithinWhatWasPaid"))
+                .isTrue();
+    }
 }
