Let simulated keepers tell when they have read the whole log

BudgetProperties never took a holder over: its keepers were not told that they had read the log to the end, which a successor waits for. A fold that freed every token of a dead holder passed.

Change: FakeKeeper reports the end of the log once, as LedgerStream does.

Measured: with that fault planted in the fold, the property fails within its 2,000 tries, and passes without this change; the sound fold passes.

--- a/fakes/src/main/java/org/bramleylatch/fakes/FakeKeeper.java
+++ b/fakes/src/main/java/org/bramleylatch/fakes/FakeKeeper.java
@@ -43,6 +43,7 @@
     private boolean paused;
     private boolean alive = true;
     private boolean readScheduled;
+    private boolean endReached;
     private long timerMillis = Long.MAX_VALUE;
 
     /**
@@ -212,6 +213,9 @@
                 .forEach(update -> deliver(new KeeperInput.FromLog(update)));
         if (wasSearching && !cursor.isSearching()) {
             scheduleRead();
+        } else if (!endReached && !cursor.isSearching()) {
+            endReached = true;
+            deliver(new KeeperInput.FromLog(new LogUpdate.CaughtUp()));
         }
     }
 }
