Spend with less caution while no token of a budget is frozen

Change: the bounds by what is left apply in proportion to the part of the budget that is frozen, and fully from a tenth on.

--- a/core/src/main/java/org/bramleylatch/core/GrantView.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantView.java
@@ -54,9 +54,17 @@
 
     /** Returns the paid tokens less those that were billed or are held by frozen holders. */
     public long spendableTokens() {
-        long frozenTokens =
-                grants.stream().filter(GrantRow::frozen).mapToLong(GrantRow::openTokens).sum();
-        return budget.paidTokens() - budget.settledTokens() - frozenTokens;
+        return budget.paidTokens() - budget.settledTokens() - frozenTokens();
+    }
+
+    /** Returns which part of the tokens that were not billed is held by frozen holders. */
+    double frozenShare() {
+        long unbilledTokens = budget.paidTokens() - budget.settledTokens();
+        return frozenTokens() / (double) Math.max(1, unbilledTokens);
+    }
+
+    private long frozenTokens() {
+        return grants.stream().filter(GrantRow::frozen).mapToLong(GrantRow::openTokens).sum();
     }
 
     /** Returns this keeper's share of the spendable tokens, by forecast demand. */
--- a/core/src/main/java/org/bramleylatch/core/SpendingLimitSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SpendingLimitSystem.java
@@ -1,6 +1,7 @@
 package org.bramleylatch.core;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Keeps what this keeper spends within the limits of each of its heartbeats that may be the last
@@ -14,12 +15,15 @@
     /** Requests arrive at random, so that for some time they need more than the forecast. */
     private static final double PACE_PER_DEMAND = 1.5;
 
-    /** A loss of power freezes no more of what is left of a budget, however little that is. */
-    private static final int MARGINS_PER_SHARE = 10;
+    /** Once tokens were lost, a loss freezes at most this part of what is left as a margin. */
+    private static final double MARGIN_SHARE = 0.1;
 
-    /** What is left of a budget lasts for at least 50 s without the log. */
+    /** Once tokens were lost, what is left lasts for at least 50 s without the log. */
     private static final double MAX_SHARES_PER_HOUR = 72;
 
+    /** From this share of frozen tokens on, what is left of a budget is spent with full caution. */
+    private static final double CAUTION_SHARE = 0.1;
+
     @Override
     public void run(KeeperWorld world, long nowMillis) {
         if (limits.spendingLimited()) {
@@ -56,20 +60,36 @@
         return heartbeat;
     }
 
+    /**
+     * Limits what is spent of a budget. If a part of it is frozen, its holders have lost power
+     * before and may again, so that less is spent without the log, in proportion to what is left.
+     */
     private static SpendingLimit limitOf(KeeperWorld world, GrantUseRow row, long nowMillis) {
-        long shareTokens =
+        Optional<GrantView> view =
                 world.ledger()
                         .budgets()
                         .find(row.budget())
-                        .map(budget -> GrantSystem.viewOf(world, budget, nowMillis).shareTokens())
-                        .orElse(0L);
-        long marginTokens =
-                Math.min(MARGIN_REQUESTS * row.requestTokens(), shareTokens / MARGINS_PER_SHARE);
-        double paceTokensPerHour = PACE_PER_DEMAND * row.demandTokensPerHourAt(nowMillis);
+                        .map(budget -> GrantSystem.viewOf(world, budget, nowMillis));
+        double shareTokens = view.map(GrantView::shareTokens).orElse(0L);
+        double caution = Math.min(1, view.map(GrantView::frozenShare).orElse(0.0) / CAUTION_SHARE);
+        double marginTokens =
+                capped(MARGIN_REQUESTS * row.requestTokens(), shareTokens * MARGIN_SHARE, caution);
+        double paceTokensPerHour =
+                capped(
+                        PACE_PER_DEMAND * row.demandTokensPerHourAt(nowMillis),
+                        shareTokens * MAX_SHARES_PER_HOUR,
+                        caution);
         return new SpendingLimit(
                 row.budget(),
-                world.spentTokens(row.budget()) + world.waitingTokens(row.budget()) + marginTokens,
-                Math.round(Math.min(paceTokensPerHour, shareTokens * MAX_SHARES_PER_HOUR)));
+                world.spentTokens(row.budget())
+                        + world.waitingTokens(row.budget())
+                        + (long) marginTokens,
+                (long) paceTokensPerHour);
+    }
+
+    /** Returns the amount, at most the cap; without caution there is none. */
+    private static double capped(double amount, double cap, double caution) {
+        return caution > 0 ? Math.min(amount, cap / caution) : amount;
     }
 
     /** Lifts the limits of earlier heartbeats, as this one is now in the log. */
