Let keepers state their grants when the store comes back from a copy

Cause: a position was taken for an identity, and an acknowledgement for ever, though both hold within one era of the store only.

Change: a page names its era. A keeper that reads another one goes on with the grants of its ledger, folds the new log beside it, and states what it knew. Revisions of moves rise in every era.

--- a/core/src/main/java/org/bramleylatch/core/AdminWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/AdminWorld.java
@@ -75,6 +75,7 @@
                 .on(LogUpdate.EntriesRead.class, this::foldEntries)
                 .on(LogUpdate.SnapshotLoaded.class, this::loadSnapshot)
                 .on(LogUpdate.BatchAppended.class, this::markAppended)
+                .on(LogUpdate.EraBegan.class, began -> dropLedger())
                 .on(LogUpdate.CaughtUp.class, caughtUp -> true)
                 .on(
                         LogUpdate.ReachabilityReported.class,
@@ -100,6 +101,12 @@
         }
     }
 
+    private boolean dropLedger() {
+        ledger = Ledger.empty();
+        fold = LedgerFold.of(ledger);
+        return true;
+    }
+
     private boolean loadSnapshot(LogUpdate.SnapshotLoaded loaded) {
         boolean isNewer = loaded.snapshot().nextOffset() >= ledger.nextOffset();
         if (isNewer) {
--- a/core/src/main/java/org/bramleylatch/core/AppendSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/AppendSystem.java
@@ -7,7 +7,13 @@
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
-        if (limits.spendingLimited() && world.isLogLost() && !world.writer().hasBatchInFlight()) {
+        if (world.transition().filter(transition -> !transition.isStating()).isPresent()) {
+            return;
+        }
+        if (limits.spendingLimited()
+                && world.isLogLost()
+                && world.transition().isEmpty()
+                && !world.writer().hasBatchInFlight()) {
             // Each new batch starts with a heartbeat, whose limits apply from then on.
             return;
         }
--- a/core/src/main/java/org/bramleylatch/core/ClockAgreement.java
+++ b/core/src/main/java/org/bramleylatch/core/ClockAgreement.java
@@ -30,7 +30,10 @@
      * process caught up with the log are ignored, because they may have been written long ago.
      */
     static void recordOffset(KeeperWorld world, LogEntry entry, long nowMillis) {
-        boolean isLive = world.isCaughtUp() && !entry.writer().equals(world.self());
+        boolean isLive =
+                world.isCaughtUp()
+                        && world.transition().isEmpty()
+                        && !entry.writer().equals(world.self());
         if (isLive && entry.record() instanceof LedgerRecord.HolderHeartbeat) {
             String stableName = entry.writer().stableName();
             long offsetMillis = nowMillis - entry.timeMillis();
--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -59,6 +59,8 @@
     KEEPER_LOST,
     /** A keeper left a reservation without an answer; others are asked for a while. */
     KEEPER_SILENT,
+    /** The log came back from a copy; a keeper reads it from its beginning. */
+    ERA_BEGAN,
     /** A keeper proposed to freeze all or part of the grants of its earlier incarnation. */
     HOLDER_FROZEN,
     /** A keeper asked for free tokens of a budget. */
--- a/core/src/main/java/org/bramleylatch/core/GrantUseRow.java
+++ b/core/src/main/java/org/bramleylatch/core/GrantUseRow.java
@@ -63,6 +63,11 @@
         return with(reservedTokens, pendingTokens, returningTokens, inFlight);
     }
 
+    /** Returns the row without anything in flight, as what was sent is dropped. */
+    GrantUseRow withNothingInFlight() {
+        return with(reservedTokens, pendingTokens, 0, false);
+    }
+
     /** Returns the row with the demand raised by a request for the given tokens. */
     public GrantUseRow addDemand(long tokens, long nowMillis) {
         double added = tokens * Math.log(2) * MILLIS_PER_HOUR / halfLifeMillis;
--- a/core/src/main/java/org/bramleylatch/core/HolderRow.java
+++ b/core/src/main/java/org/bramleylatch/core/HolderRow.java
@@ -14,6 +14,7 @@
  * @param clockAgreed true if most of the fleet's clocks agreed with the holder's at that time
  * @param limits what it may spend at most of each of its grants
  * @param succeeded true once a successor returned the tokens that the holder cannot have used
+ * @param lostSpan true if the log lost newer records, among them perhaps later heartbeats
  */
 public record HolderRow(
         Incarnation holder,
@@ -21,7 +22,8 @@
         long stampMillis,
         boolean clockAgreed,
         List<SpendingLimit> limits,
-        boolean succeeded) {
+        boolean succeeded,
+        boolean lostSpan) {
     /** Two readings of one boot time differ by less, unless the time of day was set in between. */
     private static final long BOOT_TIME_TOLERANCE_MILLIS = 200;
 
@@ -38,12 +40,19 @@
                 heartbeat.heartbeatMillis(),
                 heartbeat.clockAgreed(),
                 heartbeat.limits(),
+                false,
                 false);
     }
 
     /** Returns the row after a successor took over the grants. */
     HolderRow withSuccessor() {
-        return new HolderRow(holder, bootMillis, stampMillis, clockAgreed, limits, true);
+        return new HolderRow(holder, bootMillis, stampMillis, clockAgreed, limits, true, lostSpan);
+    }
+
+    /** Returns the row with or without the doubt whether the log lost later heartbeats. */
+    HolderRow withLostSpan(boolean isInDoubt) {
+        return new HolderRow(
+                holder, bootMillis, stampMillis, clockAgreed, limits, succeeded, isInDoubt);
     }
 
     /**
--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.core;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bramleylatch.core.KeeperInput.AttemptNoted;
@@ -34,7 +35,8 @@
                     .on(EntriesRead.class, Handlers::applyEntries)
                     .on(SnapshotLoaded.class, Handlers::loadSnapshot)
                     .on(BatchAppended.class, Handlers::acknowledgeAppend)
-                    .on(CaughtUp.class, (tick, caughtUp) -> tick.markCaughtUp())
+                    .on(LogUpdate.EraBegan.class, Handlers::beginEra)
+                    .on(CaughtUp.class, (tick, caughtUp) -> tick.reachEnd())
                     .on(ReachabilityReported.class, Handlers::updateLogReachability);
 
     private static final TickDispatch<Handlers, KeeperInput> HANDLERS =
@@ -254,6 +256,10 @@
         }
 
         private boolean loadSnapshot(SnapshotLoaded loaded) {
+            if (world.transition().isPresent()) {
+                world.transition().get().load(loaded.snapshot());
+                return true;
+            }
             if (loaded.snapshot().nextOffset() < world.ledger().nextOffset()) {
                 return false;
             }
@@ -270,8 +276,48 @@
             return true;
         }
 
+        private boolean beginEra(LogUpdate.EraBegan began) {
+            world.beginEra(began.era());
+            if (world.transition().isPresent()) {
+                world.setLogReachable(false);
+            }
+            String detail = "era=" + began.era() + " position=" + world.position();
+            world.note(EventKind.ERA_BEGAN, world.self(), detail);
+            return true;
+        }
+
+        private boolean reachEnd() {
+            return world.transition().map(this::reachEndOfEra).orElseGet(this::markCaughtUp);
+        }
+
+        private boolean reachEndOfEra(EraTransition transition) {
+            if (!transition.needsStatement(world)) {
+                LogReplay.complete(world, transition);
+                return true;
+            }
+            transition.setStating();
+            state(transition);
+            return true;
+        }
+
+        /** What was on its way is decided anew once the ledger has what this keeper states. */
+        private void state(EraTransition transition) {
+            world.writer().restartWith(transition.statement(world));
+            world.takeoversInFlight().clear();
+            world.setUncheckedFunds(world.isConfigured());
+        }
+
         private boolean markCaughtUp() {
             world.setCaughtUp();
+            if (world.position().era() > world.ledger().statements().era()
+                    || world.ledger().statements().isAwaited(world.self())) {
+                world.append(
+                        new LedgerRecord.EraStated(
+                                world.position().era(),
+                                world.self(),
+                                new LogPosition(0, 0),
+                                List.of()));
+            }
             world.ledger().budgets().keys().forEach(world.changedBudgets()::add);
             if (world.isActive()) {
                 appendFirstHeartbeat();
@@ -291,6 +337,9 @@
         }
 
         private boolean updateLogReachability(ReachabilityReported reported) {
+            if (world.transition().isPresent()) {
+                return false;
+            }
             if (world.isLogReachable() != reported.reachable()) {
                 EventKind kind = reported.reachable() ? EventKind.LOG_BACK : EventKind.LOG_AWAY;
                 world.note(kind, world.self(), "nextOffset=" + world.ledger().nextOffset());
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -31,6 +32,8 @@
     private final Incarnation self;
     private Ledger ledger = Ledger.empty();
     private LedgerFold fold = LedgerFold.of(ledger);
+    private Optional<EraTransition> transition = Optional.empty();
+    private long era;
     private long snapshotOffset;
     private long snapshotMillis;
     private boolean logReachable;
@@ -135,6 +138,10 @@
         funded = configured;
     }
 
+    boolean isConfigured() {
+        return configured;
+    }
+
     /** Returns true while the configured funds are to be compared with the ledger. */
     boolean hasUncheckedFunds() {
         return uncheckedFunds;
@@ -265,10 +272,42 @@
     }
 
     void load(LedgerSnapshot snapshot) {
-        ledger = Ledger.of(snapshot);
+        setLedger(Ledger.of(snapshot));
+    }
+
+    private void setLedger(Ledger newLedger) {
+        ledger = newLedger;
         fold = LedgerFold.of(ledger);
     }
 
+    /** Returns up to where the ledger contains the log. */
+    LogPosition position() {
+        return new LogPosition(era, ledger.nextOffset());
+    }
+
+    /** Returns the change to another era of the log; empty while there is none. */
+    Optional<EraTransition> transition() {
+        return transition;
+    }
+
+    /** Begins to fold another era of the log; a keeper that holds nothing yet drops its ledger. */
+    void beginEra(long newEra) {
+        if (caughtUp) {
+            transition = Optional.of(new EraTransition(newEra));
+        } else {
+            setLedger(Ledger.empty());
+            era = newEra;
+        }
+        snapshotOffset = 0;
+    }
+
+    /** Goes on with the ledger of the new era. */
+    void completeTransition(EraTransition completed) {
+        setLedger(completed.ledger());
+        era = completed.era();
+        transition = Optional.empty();
+    }
+
     void setLogReachable(boolean reachable) {
         logReachable = reachable;
         logLost = !reachable;
--- a/core/src/main/java/org/bramleylatch/core/Ledger.java
+++ b/core/src/main/java/org/bramleylatch/core/Ledger.java
@@ -20,6 +20,7 @@
     private final Table<Incarnation, WriterRow> writers = Table.empty();
     private final Table<Incarnation, HolderRow> holders = Table.empty();
     private final Table<RouteName, MoveRow> moves = Table.empty();
+    private final EraStatements statements = new EraStatements();
     private final KeyWindow settledKeys = KeyWindow.empty();
     private long nextOffset;
     private long logMillis;
@@ -81,6 +82,16 @@
         return settledKeys;
     }
 
+    /** Returns what holders have stated in the current era of the log. */
+    EraStatements statements() {
+        return statements;
+    }
+
+    /** Returns the tokens of a budget that can be granted now. */
+    long grantableTokens(BudgetRow budget) {
+        return statements.isSettled() ? Math.max(0, budget.freeTokens()) : 0;
+    }
+
     /** Returns the offset of the next record to fold. */
     public long nextOffset() {
         return nextOffset;
@@ -130,6 +141,9 @@
         holders.rows().map(LedgerSnapshot.HolderPart::new).forEach(rows::add);
         moves.rows().map(LedgerSnapshot.MovePart::new).forEach(rows::add);
         settledKeys.keys().map(LedgerSnapshot.KeyPart::new).forEach(rows::add);
+        if (statements.era() > 0) {
+            rows.add(new LedgerSnapshot.EraPart(statements.era()));
+        }
         return new LedgerSnapshot(nextOffset, logMillis, rows);
     }
 
@@ -168,7 +182,8 @@
                     .on(LedgerSnapshot.WriterPart.class, part -> loadWriter(part.writer()))
                     .on(LedgerSnapshot.HolderPart.class, part -> loadHolder(part.holder()))
                     .on(LedgerSnapshot.MovePart.class, part -> loadMove(part.move()))
-                    .on(LedgerSnapshot.KeyPart.class, part -> settledKeys.add(part.key()));
+                    .on(LedgerSnapshot.KeyPart.class, part -> settledKeys.add(part.key()))
+                    .on(LedgerSnapshot.EraPart.class, part -> loadEra(part.era()));
 
     private boolean loadBudget(BudgetRow row) {
         budgets.put(row.id(), row);
@@ -195,6 +210,11 @@
         return true;
     }
 
+    private boolean loadEra(long era) {
+        statements.setEra(era);
+        return true;
+    }
+
     private boolean loadMove(MoveRow row) {
         moves.put(row.spec().route(), row);
         return true;
--- a/core/src/main/java/org/bramleylatch/core/LedgerFold.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerFold.java
@@ -5,6 +5,7 @@
 import org.bramleylatch.core.LedgerRecord.BudgetCreated;
 import org.bramleylatch.core.LedgerRecord.BudgetFunded;
 import org.bramleylatch.core.LedgerRecord.BudgetToppedUp;
+import org.bramleylatch.core.LedgerRecord.EraStated;
 import org.bramleylatch.core.LedgerRecord.FrozenGrantReleased;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
@@ -32,12 +33,14 @@
 
     private final Ledger ledger;
     private final MoveRules moves;
+    private final EraRules eras;
     private final Dispatch<LedgerRecord, Optional<ResultCode>> rules;
     private long offset;
 
     private LedgerFold(Ledger ledger) {
         this.ledger = ledger;
         this.moves = new MoveRules(ledger);
+        this.eras = new EraRules(ledger);
         this.rules =
                 Dispatch.<LedgerRecord, Optional<ResultCode>>empty()
                         .on(BudgetCreated.class, this::createBudget)
@@ -50,6 +53,7 @@
                         .on(HolderFrozen.class, this::freezeHolder)
                         .on(HolderHeartbeat.class, this::recordHeartbeat)
                         .on(HolderTakenOver.class, this::takeOverHolder)
+                        .on(EraStated.class, eras::state)
                         .on(FrozenGrantReleased.class, this::releaseFrozenGrant)
                         .on(IntentDeclared.class, this::declareIntent)
                         .on(IntentFinished.class, this::finishIntent)
@@ -82,9 +86,12 @@
         if (isRepeated(entry)) {
             return Optional.of(ResultCode.RECORD_REPEATED);
         }
+        if (ledger.statements().settle(ledger.logMillis())) {
+            serveAllWaitingHolders();
+        }
         return isOfReplacedHolder(entry)
                 ? Optional.of(ResultCode.HOLDER_REPLACED)
-                : rules.apply(entry.record());
+                : eras.refuseUnsettled(entry.record()).or(() -> rules.apply(entry.record()));
     }
 
     /**
@@ -173,7 +180,8 @@
         if (budget.isEmpty()) {
             return Optional.of(ResultCode.UNKNOWN_BUDGET);
         }
-        long grantedTokens = Math.max(0, Math.min(budget.get().freeTokens(), record.tokens()));
+        long grantedTokens =
+                Math.max(0, Math.min(ledger.grantableTokens(budget.get()), record.tokens()));
         long missingTokens = Math.max(0, record.neededTokens() - grantedTokens);
         GrantKey key = GrantKey.of(record.budget(), record.holder());
         GrantRow previous = ledger.grants().find(key).orElseGet(() -> GrantRow.of(key));
@@ -253,22 +261,36 @@
             return Optional.of(ResultCode.FIELD_INVALID);
         }
         ledger.holders().put(record.holder(), holder.get().withSuccessor());
+        boolean isInDoubt = holder.get().lostSpan();
         List<GrantKey> heldGrants =
                 ledger.grants().keys().filter(key -> key.holder().equals(record.holder())).toList();
         heldGrants.forEach(
                 key ->
-                        returnUnspent(
-                                key, holder.get().spentTokensAt(key.budget(), record.endMillis())));
+                        freezeUnbilled(
+                                key,
+                                holder.get().spentTokensAt(key.budget(), record.endMillis()),
+                                isInDoubt));
         return ACCEPTED;
     }
 
-    /** Freezes what the holder may have spent and not billed, and returns the rest. */
-    private void returnUnspent(GrantKey key, long spentTokens) {
+    /**
+     * Freezes what the holder may have spent and not billed, and returns the rest. If the log lost
+     * later heartbeats of the holder, nothing is returned, and what its pace allows beyond its
+     * grant is frozen too, as it may have got a larger one.
+     */
+    private void freezeUnbilled(GrantKey key, long spentTokens, boolean isInDoubt) {
         GrantRow grant = ledger.grants().find(key).orElseThrow();
+        BudgetRow budget = ledger.budgets().find(key.budget()).orElseThrow();
         long unbilledTokens = Math.max(0, spentTokens - grant.settledTokens());
-        long unspentTokens = grant.frozen() ? 0 : Math.max(0, grant.openTokens() - unbilledTokens);
-        ledger.grants().put(key, grant.returnTokens(unspentTokens).freeze());
-        ledger.budgets().update(key.budget(), row -> row.addOpen(-unspentTokens));
+        long unspentTokens = Math.max(0, grant.openTokens() - unbilledTokens);
+        long beyondGrantTokens =
+                Math.min(
+                        Math.max(0, budget.freeTokens()),
+                        Math.max(0, unbilledTokens - grant.openTokens()));
+        long returnedTokens = isInDoubt ? -beyondGrantTokens : unspentTokens;
+        long changedTokens = grant.frozen() ? 0 : returnedTokens;
+        ledger.grants().put(key, grant.returnTokens(changedTokens).freeze());
+        ledger.budgets().update(key.budget(), row -> row.addOpen(-changedTokens));
         serveWaitingHolders(key.budget());
     }
 
@@ -297,6 +319,10 @@
         serveWaitingHolders(grant.key().budget());
     }
 
+    private void serveAllWaitingHolders() {
+        ledger.budgets().keys().sorted().toList().forEach(this::serveWaitingHolders);
+    }
+
     private void serveWaitingHolders(BudgetId budget) {
         ledger.grantsOf(budget).stream()
                 .filter(grant -> grant.wantedTokens() > 0)
@@ -305,7 +331,7 @@
 
     private void serveWaitingHolder(GrantRow grant) {
         BudgetId budget = grant.key().budget();
-        long freeTokens = ledger.budgets().find(budget).map(BudgetRow::freeTokens).orElse(0L);
+        long freeTokens = ledger.budgets().find(budget).map(ledger::grantableTokens).orElse(0L);
         long grantedTokens = Math.min(freeTokens, grant.wantedTokens());
         long missingTokens = grant.wantedTokens() - grantedTokens;
         ledger.grants()
--- a/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerRecord.java
@@ -106,6 +106,22 @@
      */
     record HolderTakenOver(Incarnation holder, long endMillis) implements LedgerRecord {}
 
+    /**
+     * States what its writer knows after the log came back from a copy. The first statement of an
+     * era begins that era.
+     *
+     * @param read up to where the writer had read the log in an earlier era; offset 0 if it had not
+     * @param rows the writer's budgets, grants, heartbeats of holders and moves as of then
+     */
+    record EraStated(long era, Incarnation holder, LogPosition read, List<LedgerSnapshot.Row> rows)
+            implements HolderRecord {
+
+        /** Copies the list. */
+        public EraStated {
+            rows = List.copyOf(rows);
+        }
+    }
+
     /**
      * Freezes the grants of a holder that is presumed down without proof, or whose successor cannot
      * prove how much it used. Its open tokens do not become free.
--- a/core/src/main/java/org/bramleylatch/core/LedgerSnapshot.java
+++ b/core/src/main/java/org/bramleylatch/core/LedgerSnapshot.java
@@ -41,6 +41,9 @@
     /** Carries the latest move of a route. */
     public record MovePart(MoveRow move) implements Row {}
 
+    /** Carries the era of the log, whose grants are all stated. */
+    public record EraPart(long era) implements Row {}
+
     /** Carries the key of settled usage or of a top-up. */
     public record KeyPart(RequestKey key) implements Row {}
 }
--- a/core/src/main/java/org/bramleylatch/core/LogReplay.java
+++ b/core/src/main/java/org/bramleylatch/core/LogReplay.java
@@ -19,6 +19,10 @@
 
     /** Folds one entry and updates the keeper's tables; a repeated record has no effect. */
     static void apply(KeeperWorld world, LogEntry entry) {
+        if (world.transition().isPresent()) {
+            applyInTransition(world, world.transition().get(), entry);
+            return;
+        }
         Optional<ResultCode> refusal = world.fold().apply(entry);
         boolean repeated = refusal.filter(ResultCode.RECORD_REPEATED::equals).isPresent();
         if (!repeated) {
@@ -44,6 +48,34 @@
                 .forEach(row -> completeUsage(world, row));
     }
 
+    /**
+     * Folds an entry of a new era. Once this keeper's statement is read back, the new ledger has
+     * its grants, and the keeper goes on with it.
+     */
+    private static void applyInTransition(
+            KeeperWorld world, EraTransition transition, LogEntry entry) {
+        transition.fold().apply(entry);
+        boolean isOwnStatement =
+                transition.isStating()
+                        && entry.writer().equals(world.self())
+                        && entry.record() instanceof LedgerRecord.EraStated stated
+                        && stated.era() == transition.era();
+        if (isOwnStatement) {
+            complete(world, transition);
+            world.writer().inFlightUpTo(entry.sequence()).forEach(own -> applyOwn(world, own));
+        }
+    }
+
+    /** Lets the keeper go on with the ledger of the new era. */
+    static void complete(KeeperWorld world, EraTransition transition) {
+        world.completeTransition(transition);
+        List.copyOf(world.grantUses().rows().toList())
+                .forEach(row -> world.grantUses().put(row.budget(), row.withNothingInFlight()));
+        world.ledger().budgets().keys().forEach(world.changedBudgets()::add);
+        world.setLogReachable(true);
+        world.note(EventKind.LOG_BACK, world.self(), "position=" + world.position());
+    }
+
     private static void applyOwn(KeeperWorld world, LogEntry entry) {
         applyOwn(world, new SequencedRecord(entry.sequence(), entry.record()));
     }
@@ -81,6 +113,8 @@
     private static void markChanged(KeeperWorld world, LedgerRecord record) {
         if (record instanceof LedgerRecord.BudgetRecord budgetRecord) {
             world.changedBudgets().add(budgetRecord.budget());
+        } else if (record instanceof LedgerRecord.EraStated) {
+            world.ledger().budgets().keys().forEach(world.changedBudgets()::add);
         } else if (record instanceof LedgerRecord.SnapshotPart part) {
             world.setSnapshotOffset(part.nextOffset());
             world.setSnapshotMillis(0);
--- a/core/src/main/java/org/bramleylatch/core/LogUpdate.java
+++ b/core/src/main/java/org/bramleylatch/core/LogUpdate.java
@@ -17,6 +17,12 @@
     /** Carries a snapshot that replaces all rows folded so far. */
     record SnapshotLoaded(LedgerSnapshot snapshot) implements LogUpdate {}
 
+    /**
+     * Reports that the log came back from a copy. Its newest records are lost, and their offsets
+     * are given out again; the entries that follow are read from its beginning.
+     */
+    record EraBegan(long era) implements LogUpdate {}
+
     /** Confirms that the log appended a batch; without this the batch is sent again. */
     record BatchAppended(long lastSequence) implements LogUpdate {}
 
--- a/core/src/main/java/org/bramleylatch/core/LogWriter.java
+++ b/core/src/main/java/org/bramleylatch/core/LogWriter.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.bramleylatch.core.LedgerRecord.BudgetFunded;
 import org.bramleylatch.core.LedgerRecord.GrantAsked;
 import org.bramleylatch.core.LedgerRecord.GrantReturned;
@@ -61,6 +62,23 @@
         hasUrgentRecord = true;
     }
 
+    /**
+     * Drops the records that rest on an earlier era of the log, and queues the given one before the
+     * others. What was sent and not read back is sent again under new sequence numbers.
+     */
+    void restartWith(LedgerRecord first) {
+        List<LedgerRecord> kept =
+                Stream.concat(inFlight.stream().map(SequencedRecord::record), queue.stream())
+                        .filter(LogWriter::holdsInEveryEra)
+                        .toList();
+        inFlight.clear();
+        queue.clear();
+        queue.add(first);
+        queue.addAll(kept);
+        addEmptyBatch();
+        nextUrgentMillis = 0;
+    }
+
     /** Returns true if no record is waiting to be appended or read back. */
     public boolean isIdle() {
         return queue.isEmpty() && inFlight.isEmpty();
@@ -180,6 +198,13 @@
         return new UsageReported(first.budget(), first.holder(), usages);
     }
 
+    private static boolean holdsInEveryEra(LedgerRecord record) {
+        return record instanceof UsageSummed
+                || record instanceof LedgerRecord.MoveOrdered
+                || record instanceof LedgerRecord.MoveObserved
+                || record instanceof LedgerRecord.MoveExpired;
+    }
+
     /** Returns true if requests may be waiting for the record to be appended. */
     private static boolean isUrgent(LedgerRecord record) {
         boolean isAwaitedGrant = record instanceof GrantAsked ask && ask.neededTokens() > 0;
--- a/core/src/main/java/org/bramleylatch/core/MoveRow.java
+++ b/core/src/main/java/org/bramleylatch/core/MoveRow.java
@@ -3,7 +3,8 @@
 /**
  * Holds the state of a planned move as the records of the log determine it.
  *
- * @param revision the offset of the last record that changed the stage or the state
+ * @param revision rises with each change of the stage or the state; the offset of the record,
+ *     unless the log has come back from a copy since
  * @param stage the index of the current stage, from 0
  * @param old the attempts at the old version in the current stage
  * @param fresh the attempts at the new version in the current stage
@@ -89,7 +90,7 @@
 
     /** Ends the move in the given state at the given offset of the log. */
     public MoveRow ended(State endState, long offset, String endReason) {
-        return new MoveRow(spec, offset, endState, stage, old, fresh, test, endReason);
+        return new MoveRow(spec, revisionAt(offset), endState, stage, old, fresh, test, endReason);
     }
 
     /** Enters the next stage with empty counts but the same test, or ends the last stage. */
@@ -98,6 +99,18 @@
             return ended(State.DONE, offset, "all stages passed");
         }
         return new MoveRow(
-                spec, offset, state, stage + 1, Tally.empty(), Tally.empty(), test, reason);
+                spec,
+                revisionAt(offset),
+                state,
+                stage + 1,
+                Tally.empty(),
+                Tally.empty(),
+                test,
+                reason);
+    }
+
+    /** Returns a higher revision, also where the log gives out lower offsets in a later era. */
+    private long revisionAt(long offset) {
+        return Math.max(offset, revision + 1);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
@@ -20,7 +20,8 @@
         long dueMillis = world.snapshotMillis() + withJitter(world, limits.snapshotEveryMillis());
         long dueOffset = world.snapshotOffset() + withJitter(world, limits.snapshotEveryRecords());
         boolean isDue = nowMillis >= dueMillis || world.ledger().nextOffset() >= dueOffset;
-        if (world.isLogReachable() && isDue && world.snapshotMillis() > 0) {
+        boolean isSettled = world.ledger().statements().isSettled();
+        if (world.isLogReachable() && isSettled && isDue && world.snapshotMillis() > 0) {
             takeSnapshot(world, nowMillis);
         } else if (world.snapshotMillis() == 0) {
             // Zero at the start and after a snapshot was read: the interval starts at this tick.
--- a/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SuccessionSystem.java
@@ -17,7 +17,8 @@
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
-        if (world.isCaughtUp()) {
+        boolean isSettled = world.transition().isEmpty() && world.ledger().statements().isSettled();
+        if (world.isCaughtUp() && isSettled) {
             List<Incarnation> predecessors =
                     world.changedBudgets().stream()
                             .flatMap(budget -> world.ledger().grantsOf(budget).stream())
--- a/core/src/test/java/org/bramleylatch/core/HolderRowTest.java
+++ b/core/src/test/java/org/bramleylatch/core/HolderRowTest.java
@@ -35,6 +35,7 @@
                         STAMP_MILLIS,
                         clockAgreed,
                         List.of(),
+                        false,
                         false);
         return row.endByFleetClock(STAMP_MILLIS + millis, TOLERANCE_MILLIS);
     }
--- a/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
@@ -37,8 +37,10 @@
     private final LogService logService;
     private final Incarnation self;
     private final Consumer<LogUpdate> onUpdate;
-    private final LedgerCursor cursor = LedgerCursor.atStart();
+    private LedgerCursor cursor = LedgerCursor.atStart();
+    private long era;
     private boolean started;
+    private boolean endReached;
     private boolean caughtUp;
     private boolean peersAsked;
     private boolean startWarningLogged;
@@ -105,7 +107,7 @@
                 LogStreams.LEDGER,
                 cursor.readOffset(),
                 MAX_READ_RECORDS,
-                caughtUp ? waitMillis : 0);
+                endReached ? waitMillis : 0);
     }
 
     /**
@@ -138,6 +140,23 @@
      * the cursor moves past it.
      */
     private void receivePage(LogPage page) {
+        if (page.era() == era) {
+            receivePageOfEra(page);
+        } else {
+            beginEra(page.era());
+        }
+    }
+
+    /** Reads from the start again, as the offsets of another era name other records. */
+    private void beginEra(long newEra) {
+        era = newEra;
+        cursor = LedgerCursor.atStart();
+        started = false;
+        endReached = false;
+        onUpdate.accept(new LogUpdate.EraBegan(newEra));
+    }
+
+    private void receivePageOfEra(LogPage page) {
         boolean searching = cursor.isSearching();
         List<LogEntry> entries =
                 page.records().stream()
@@ -153,7 +172,8 @@
                 cursor.jumpTo(endOffset);
             }
         }
-        if (!caughtUp && !cursor.isSearching() && cursor.readOffset() >= page.endOffset()) {
+        if (!endReached && !cursor.isSearching() && cursor.readOffset() >= page.endOffset()) {
+            endReached = true;
             caughtUp = true;
             onUpdate.accept(new LogUpdate.CaughtUp());
         }
--- a/edge/src/test/java/org/bramleylatch/edge/LedgerStreamTest.java
+++ b/edge/src/test/java/org/bramleylatch/edge/LedgerStreamTest.java
@@ -34,6 +34,7 @@
     private final LedgerStream stream = new LedgerStream(new ListLog(), WRITER, updates::add);
     private Cancellable following = () -> {};
     private long appendOffset;
+    private volatile long era;
 
     @AfterEach
     void stop() {
@@ -57,6 +58,30 @@
         assertThat(reads.get()).isEqualTo(2);
     }
 
+    /** Guards against BUDGET: records whose offsets had been read before the log's return. */
+    @Test
+    void aLogThatComesBackFromACopyIsReadFromItsBeginning() throws Exception {
+        log.add(record(1));
+        log.add(record(2));
+        readToEnd();
+        log.remove(1);
+        log.add(record(3));
+        era = 1;
+        log.add(record(4));
+        following.cancel();
+        following = stream.follow(PACE);
+        LogUpdate began = updates.poll(5, TimeUnit.SECONDS);
+        while (!(began instanceof LogUpdate.EraBegan)) {
+            began = updates.poll(5, TimeUnit.SECONDS);
+            assertThat(began).isNotNull();
+        }
+        LogUpdate read = updates.poll(5, TimeUnit.SECONDS);
+        assertThat(((LogUpdate.EntriesRead) read).entries())
+                .extracting(LogEntry::sequence)
+                .containsExactly(1L, 3L, 4L);
+        assertThat(updates.poll(5, TimeUnit.SECONDS)).isInstanceOf(LogUpdate.CaughtUp.class);
+    }
+
     /** Guards against a search for a snapshot that never ends. */
     @Test
     void recordsThatCannotBeReadAreSkippedInTheSearchForASnapshot() throws Exception {
@@ -128,7 +153,7 @@
                     IntStream.range((int) from, log.size())
                             .mapToObj(offset -> new LogPage.Item(offset, 1_000, log.get(offset)))
                             .toList();
-            return CompletableFuture.completedFuture(new LogPage(0, log.size(), items));
+            return CompletableFuture.completedFuture(new LogPage(era, 0, log.size(), items));
         }
     }
 }
--- a/fakes/src/main/java/org/bramleylatch/fakes/FakeKeeper.java
+++ b/fakes/src/main/java/org/bramleylatch/fakes/FakeKeeper.java
@@ -35,7 +35,8 @@
     private final Zone zone;
     private final KeeperWorld world;
     private final Schedule<KeeperWorld> schedule;
-    private final LedgerCursor cursor = LedgerCursor.atStart();
+    private LedgerCursor cursor = LedgerCursor.atStart();
+    private long era;
     private final Consumer<KeeperOutput> outputConsumer;
     private final Queue<AppendFault> pendingFaults = new ArrayDeque<>();
     private final List<KeeperInput> deferredInputs = new ArrayList<>();
@@ -188,6 +189,13 @@
         }
     }
 
+    private void beginEra() {
+        era = log.era();
+        cursor = LedgerCursor.atStart();
+        endReached = false;
+        deliver(new KeeperInput.FromLog(new LogUpdate.EraBegan(era)));
+    }
+
     private void scheduleRead() {
         if (!readScheduled && alive) {
             readScheduled = true;
@@ -200,9 +208,16 @@
         if (!alive || paused) {
             return;
         }
-        if (!connected || log.isUnavailable()) {
+        if (connected && !log.isUnavailable()) {
+            readLog();
+        } else {
             deliver(new KeeperInput.FromLog(new LogUpdate.ReachabilityReported(false)));
-            return;
+        }
+    }
+
+    private void readLog() {
+        if (era != log.era()) {
+            beginEra();
         }
         if (cursor.readOffset() != LedgerCursor.EARLIEST
                 && cursor.readOffset() < log.earliestOffset()) {
--- a/fakes/src/main/java/org/bramleylatch/fakes/FakeLog.java
+++ b/fakes/src/main/java/org/bramleylatch/fakes/FakeLog.java
@@ -18,6 +18,7 @@
     private final List<Consumer<List<SequencedRecord>>> observers = new ArrayList<>();
     private long earliestOffset;
     private boolean unavailable;
+    private long era;
 
     private FakeLog(VirtualTime time) {
         this.time = time;
@@ -65,6 +66,19 @@
         earliestOffset = Math.max(earliestOffset, Math.min(offset, endOffset()));
     }
 
+    /** Counts how often the log came back from a copy. */
+    public long era() {
+        return era;
+    }
+
+    /** Comes back from a copy without the newest records, whose offsets are given out again. */
+    public void loseNewest(int count) {
+        int kept = (int) Math.max(earliestOffset, entries.size() - count);
+        entries.subList(kept, entries.size()).clear();
+        era++;
+        List.copyOf(readers).forEach(Runnable::run);
+    }
+
     /** Returns true during an outage. */
     public boolean isUnavailable() {
         return unavailable;
--- a/proof/src/test/java/org/bramleylatch/proof/BudgetProperties.java
+++ b/proof/src/test/java/org/bramleylatch/proof/BudgetProperties.java
@@ -108,7 +108,7 @@
                 Tuple.of(1, step("expire", 1, (f, i) -> f.truncateLog())));
     }
 
-    private static Arbitrary<Step> requestStep() {
+    static Arbitrary<Step> requestStep() {
         return Combinators.combine(
                         Arbitraries.integers().between(0, FleetHarness.ROUTERS - 1),
                         Arbitraries.integers().between(0, FleetHarness.BUDGETS - 1),
@@ -142,7 +142,7 @@
                                         fleet -> fleet.claimBooking(key, router)));
     }
 
-    private static Arbitrary<Step> appendFaultStep() {
+    static Arbitrary<Step> appendFaultStep() {
         return Combinators.combine(
                         Arbitraries.integers().between(0, FleetHarness.KEEPERS - 1),
                         Arbitraries.of(AppendFault.class))
@@ -153,13 +153,13 @@
                                         fleet -> fleet.addAppendFault(keeper, fault)));
     }
 
-    private static Arbitrary<Step> step(String name, int count, IndexedAction action) {
+    static Arbitrary<Step> step(String name, int count, IndexedAction action) {
         return Arbitraries.integers()
                 .between(0, count - 1)
                 .map(index -> new Step(name + " " + index, fleet -> action.apply(fleet, index)));
     }
 
-    private static void assertEveryBudgetBalances(Ledger ledger) {
+    static void assertEveryBudgetBalances(Ledger ledger) {
         assertThat(ledger.budgets().rows()).allMatch(BudgetRow::balances);
         assertThat(ledger.budgets().keys().flatMap(id -> ledger.statement(id).stream()))
                 .allMatch(statement -> statement.balances());
@@ -182,7 +182,7 @@
                                         .isEqualTo(expected.getOrDefault(row.id(), 0L)));
     }
 
-    private static void assertKeeperLedgersEqual(FleetHarness fleet, Ledger ledger) {
+    static void assertKeeperLedgersEqual(FleetHarness fleet, Ledger ledger) {
         fleet.keepers.forEach(
                 keeper -> {
                     assertThat(keeper.world().ledger().nextOffset()).isEqualTo(ledger.nextOffset());
@@ -190,7 +190,7 @@
                 });
     }
 
-    private interface IndexedAction {
+    interface IndexedAction {
         void apply(FleetHarness fleet, int index);
     }
 
--- a/proof/src/test/java/org/bramleylatch/proof/FleetHarness.java
+++ b/proof/src/test/java/org/bramleylatch/proof/FleetHarness.java
@@ -44,7 +44,7 @@
     private static final long USAGE_RESEND_INTERVAL_MILLIS = 500;
     private static final long CATCH_UP_STEP_MILLIS = 5;
     private static final int MAX_CATCH_UP_STEPS = 100;
-    private static final Incarnation OPERATOR = Incarnation.of("operator");
+    static final Incarnation OPERATOR = Incarnation.of("operator");
 
     final VirtualTime time = VirtualTime.startingAt(START_MILLIS);
     final FakeLog log = FakeLog.of(time);
@@ -363,7 +363,7 @@
         }
     }
 
-    private boolean appendAsOperator(LedgerRecord record) {
+    boolean appendAsOperator(LedgerRecord record) {
         operatorSequence++;
         return log.append(OPERATOR, List.of(new SequencedRecord(operatorSequence, record)));
     }
--- a/wire/src/test/java/org/bramleylatch/wire/WireEntryTest.java
+++ b/wire/src/test/java/org/bramleylatch/wire/WireEntryTest.java
@@ -9,6 +9,7 @@
 import org.bramleylatch.core.LedgerRecord;
 import org.bramleylatch.core.LedgerSnapshot;
 import org.bramleylatch.core.LogEntry;
+import org.bramleylatch.core.LogPosition;
 import org.bramleylatch.core.MoveRow;
 import org.bramleylatch.core.MoveSpec;
 import org.bramleylatch.core.RequestKey;
@@ -57,6 +58,13 @@
                 new LedgerRecord.HolderHeartbeat(
                         WRITER, 7, 9, true, List.of(new SpendingLimit(BUDGET, 40, 30))),
                 new LedgerRecord.HolderTakenOver(WRITER, 500),
+                new LedgerRecord.EraStated(
+                        2,
+                        WRITER,
+                        new LogPosition(1, 40),
+                        List.of(
+                                new LedgerSnapshot.BudgetPart(BudgetRow.of(BUDGET)),
+                                new LedgerSnapshot.EraPart(2))),
                 new LedgerRecord.FrozenGrantReleased(BUDGET, WRITER, "operators"),
                 new LedgerRecord.IntentDeclared(KEY, WRITER, BUDGET),
                 new LedgerRecord.IntentFinished(KEY, WRITER, RunState.RAN, 201, "{\"a\":1}"),
