Publish a process again that the store has forgotten

A process that published its address in the lost records of a store that came back from a copy, or whose earlier address the copy has, was never found again by peers that started later: they can't ask it for tokens.

Cause: what this system writes was taken as written for ever.

Change: a page that lists all keys without what this process published makes it publish again.

Measured: both cases of PeerDirectoryTest fail without the change.

--- a/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
@@ -80,8 +80,9 @@
     void receivePage(KeyedPage page) {
         boolean wasKnown = !announced && page.contains(self.vm().vm());
         page.applyEach(GUARD, this::addPeer);
-        if (!announced) {
+        if (!announced || isForgotten(page)) {
             announced = true;
+            peers.put(self.vm().vm(), self);
             publish();
         }
         routerInbox.accept(new RouterInput.RoutersCounted(peers.size()));
@@ -94,6 +95,12 @@
         }
     }
 
+    /** Returns true if the store came back from a copy that lacks what this process published. */
+    private boolean isForgotten(KeyedPage page) {
+        String vm = self.vm().vm();
+        return page.listsAllKeys() && !(page.contains(vm) && self.equals(peers.get(vm)));
+    }
+
     private void addPeer(KeyedChange change) {
         change.value()
                 .flatMap(text -> PeerEntry.parse(change.key(), text))
