--- a/core/src/main/java/org/bramleylatch/core/EraRules.java
+++ b/core/src/main/java/org/bramleylatch/core/EraRules.java
@@ -77,14 +77,14 @@
         ledger.statements().begin(era, copied, writers, ledger.logMillis());
         ledger.grants()
                 .rows()
-                .forEach(row -> ledger.statements().basicGrants().put(row.key(), row));
+                .forEach(row -> ledger.statements().statedGrants().put(row.key(), row));
         ledger.budgets().rows().forEach(this::keepArchivedTokens);
         List.copyOf(ledger.holders().rows().filter(row -> !row.succeeded()).toList())
                 .forEach(row -> ledger.holders().put(row.holder(), row.withLostSpan(true)));
     }
 
     private void keepArchivedTokens(BudgetRow row) {
-        ledger.statements().basicArchivedTokens().put(row.id(), archivedTokens(row));
+        ledger.statements().statedArchivedTokens().put(row.id(), archivedTokens(row));
     }
 
     /** Returns the tokens that were billed against grants which no longer exist. */
@@ -119,11 +119,11 @@
     }
 
     private void restateBudget(BudgetRow stated, long statedByGrantTokens) {
-        Table<BudgetId, Long> basic = ledger.statements().basicArchivedTokens();
+        Table<BudgetId, Long> archived = ledger.statements().statedArchivedTokens();
         BudgetRow known = ledger.budgets().findOrAdd(stated.id(), () -> BudgetRow.of(stated.id()));
         long statedArchivedTokens = stated.settledTokens() - statedByGrantTokens;
-        long addedTokens = statedArchivedTokens - basic.find(stated.id()).orElse(0L);
-        basic.put(stated.id(), statedArchivedTokens);
+        long addedTokens = statedArchivedTokens - archived.find(stated.id()).orElse(0L);
+        archived.put(stated.id(), statedArchivedTokens);
         ledger.budgets()
                 .put(
                         stated.id(),
@@ -141,7 +141,7 @@
                 .forEach(row -> stated.put(row.key(), row));
         Set<GrantKey> keys = new HashSet<>(stated.keySet());
         ledger.grants().keys().forEach(keys::add);
-        ledger.statements().basicGrants().keys().forEach(keys::add);
+        ledger.statements().statedGrants().keys().forEach(keys::add);
         keys.stream()
                 .filter(isConcerned)
                 .sorted(Comparator.comparing(GrantKey::toString))
@@ -151,10 +151,10 @@
     /** Sets a grant to what was stated, and keeps what was billed in this era. */
     private void restate(GrantRow stated) {
         GrantKey key = stated.key();
-        Table<GrantKey, GrantRow> basicGrants = ledger.statements().basicGrants();
-        GrantRow basic = basicGrants.find(key).orElseGet(() -> GrantRow.of(key));
+        Table<GrantKey, GrantRow> statedGrants = ledger.statements().statedGrants();
+        GrantRow before = statedGrants.find(key).orElseGet(() -> GrantRow.of(key));
         GrantRow known = ledger.grants().find(key).orElseGet(() -> GrantRow.of(key));
-        long billedTokens = Math.max(0, known.settledTokens() - basic.settledTokens());
+        long billedTokens = Math.max(0, known.settledTokens() - before.settledTokens());
         long settledTokens = stated.settledTokens() + billedTokens;
         GrantRow restated =
                 new GrantRow(
@@ -174,7 +174,7 @@
                                         row.paidTokens(),
                                         row.settledTokens() + settledTokens - known.settledTokens(),
                                         row.openTokens()));
-        basicGrants.put(key, stated);
+        statedGrants.put(key, stated);
         if (restated.openTokens() == 0 && settledTokens == 0) {
             ledger.removeGrant(key);
         } else {
--- a/core/src/main/java/org/bramleylatch/core/EraStatements.java
+++ b/core/src/main/java/org/bramleylatch/core/EraStatements.java
@@ -14,14 +14,14 @@
     /** Lets VMs state that began to write in the lost records, so that the copy lacks them. */
     private static final long MIN_WAIT_MILLIS = 1_000;
 
-    /** Longer than a network partition mostly lasts. */
-    private static final long MAX_WAIT_MILLIS = 30_000;
+    /** Longer than most network partitions, shorter than logs keep the last snapshot. */
+    private static final long MAX_WAIT_MILLIS = 15_000;
 
     private final Set<String> awaitedVms = new TreeSet<>();
     private final Set<String> vmsThatStated = new HashSet<>();
     private final Set<Incarnation> holdersThatStated = new HashSet<>();
-    private final Table<GrantKey, GrantRow> basicGrants = Table.empty();
-    private final Table<BudgetId, Long> basicArchivedTokens = Table.empty();
+    private final Table<GrantKey, GrantRow> statedGrants = Table.empty();
+    private final Table<BudgetId, Long> statedArchivedTokens = Table.empty();
     private long era;
     private long beginMillis;
     private boolean settled = true;
@@ -46,16 +46,16 @@
     }
 
     /** Contains each grant as the copy had it, or as it was stated last. */
-    Table<GrantKey, GrantRow> basicGrants() {
-        return basicGrants;
+    Table<GrantKey, GrantRow> statedGrants() {
+        return statedGrants;
     }
 
     /**
      * Contains the tokens that were billed against grants which no longer exist, by budget, as the
      * copy had them or as they were stated last.
      */
-    Table<BudgetId, Long> basicArchivedTokens() {
-        return basicArchivedTokens;
+    Table<BudgetId, Long> statedArchivedTokens() {
+        return statedArchivedTokens;
     }
 
     /**
@@ -68,8 +68,8 @@
         beginMillis = nowMillis;
         farthestRead = copied;
         holdersThatStated.clear();
-        basicGrants.removeIf(row -> true);
-        basicArchivedTokens.removeIf(tokens -> true);
+        statedGrants.removeIf(row -> true);
+        statedArchivedTokens.removeIf(tokens -> true);
         vmsThatStated.clear();
         awaitedVms.clear();
         awaitedVms.addAll(vms);
