--- a/proof/src/test/java/org/bramleylatch/proof/Soak.java
+++ b/proof/src/test/java/org/bramleylatch/proof/Soak.java
@@ -3,11 +3,13 @@
 import com.google.common.base.Joiner;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -30,6 +32,7 @@
     private final SoakJudge judge;
     private final Deque<SoakPlan.Step> plan = new ArrayDeque<>();
     private final List<LongConsumer> systems;
+    private Map<String, List<Buffer>> storeCopy = Map.of();
     private long lastTickMillis;
     private long maxGapMillis;
 
@@ -177,6 +180,18 @@
         world.configurations().add(new SoakWorld.Published(world.nowMillis(), config));
     }
 
+    void copyStore() {
+        storeCopy = store.copy();
+    }
+
+    /** Brings the store back from its copy; the operator and the endpoints write again. */
+    void restoreStore() {
+        store.restore(storeCopy);
+        List<SoakWorld.Published> configurations = world.configurations();
+        store.putConfiguration(configurations.get(configurations.size() - 1).config().json());
+        endpoints.registerAgain();
+    }
+
     /** Asks the process to stop; another one follows. */
     void stopProcess() {
         process.checkOrphans();
--- a/proof/src/test/java/org/bramleylatch/proof/SoakEndpoints.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakEndpoints.java
@@ -4,7 +4,9 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
@@ -19,6 +21,7 @@
 
     private final SoakWorld world;
     private final LoopbackStore store;
+    private final Map<String, String> latestEntries = new HashMap<>();
     private final Habits habits;
 
     /**
@@ -78,7 +81,13 @@
         register(endpoint.name(), isGone ? "" : endpoint.registryJson());
     }
 
+    /** Writes the latest entry of each endpoint again, also of those that were removed. */
+    void registerAgain() {
+        Map.copyOf(latestEntries).forEach(this::register);
+    }
+
     private void register(String name, String json) {
+        latestEntries.put(name, json);
         store.put(
                 "keyed.servers",
                 name.getBytes(StandardCharsets.UTF_8),
--- a/proof/src/test/java/org/bramleylatch/proof/SoakPlan.java
+++ b/proof/src/test/java/org/bramleylatch/proof/SoakPlan.java
@@ -45,6 +45,7 @@
         plan.addSeries(2_000, 1_500, 4_000, plan::addProcessTrouble);
         plan.addSeries(500, 200, 1_200, plan::addEndpointTrouble);
         plan.addStops(endMillis / 2);
+        plan.addSeries(3_000, 3_000, 8_000, plan::addStoreReturn);
         plan.steps.sort(Comparator.comparingLong(Step::atMillis));
         return List.copyOf(plan.steps);
     }
@@ -78,6 +79,15 @@
         }
     }
 
+    private void addStoreReturn(long atMillis) {
+        int lostMillis = 300 + random.nextInt(2_700);
+        add(atMillis - lostMillis, "the store is copied", Soak::copyStore);
+        add(
+                atMillis,
+                "the store comes back from the copy of " + lostMillis + " ms before",
+                Soak::restoreStore);
+    }
+
     private void addReload(long atMillis) {
         add(atMillis, "SIGHUP", soak -> soak.process().reload());
     }
