Renew heartbeats of idle holders only after their demand has fallen

Cause: a holder without records of its own sent a heartbeat every second, to lower its limits. They fall with the demand, whose half-life is 3 s.

Change: such a holder sends a heartbeat after 3 s.

--- a/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
@@ -83,11 +83,11 @@
         return true;
     }
 
-    /** Sends a heartbeat if no batch had one for a while, as its limits rise with its age. */
+    /** Sends a heartbeat if no batch had one since the demand fell, by which its limits rise. */
     private void renewHeartbeat(KeeperWorld world, long nowMillis) {
         long dueMillis =
                 world.spendingLimits().lastMillis().orElse(nowMillis)
-                        + limits.reviewIntervalMillis();
+                        + limits.demandHalfLifeMillis();
         if (limits.spendingLimited() && world.isLogReachable() && nowMillis >= dueMillis) {
             world.writer().addEmptyBatch();
         }
