Change the accounts of budgets in BudgetRow alone

EraRules built the rows of budgets from their parts in three places. Moved to BudgetRow; nothing is decided otherwise. EraRulesTest, LogReplay's tests and the properties hold.

--- a/core/src/main/java/org/bramleylatch/core/BudgetRow.java
+++ b/core/src/main/java/org/bramleylatch/core/BudgetRow.java
@@ -41,4 +41,14 @@
     public BudgetRow settle(long tokens) {
         return new BudgetRow(id, paidTokens, settledTokens + tokens, openTokens - tokens);
     }
+
+    /** Returns the account with the given total of open tokens. */
+    BudgetRow withOpen(long tokens) {
+        return new BudgetRow(id, paidTokens, settledTokens, tokens);
+    }
+
+    /** Returns the account with the billed tokens changed by the given amount. */
+    BudgetRow addSettled(long tokens) {
+        return new BudgetRow(id, paidTokens, settledTokens + tokens, openTokens);
+    }
 }
--- a/core/src/main/java/org/bramleylatch/core/EraRules.java
+++ b/core/src/main/java/org/bramleylatch/core/EraRules.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -48,7 +47,7 @@
         }
         restateGrants(record, key -> key.holder().equals(record.holder()));
         statements.markStated(record.holder());
-        recomputeBudgets();
+        sumOpenTokens();
         return ACCEPTED;
     }
 
@@ -79,7 +78,8 @@
                 .rows()
                 .forEach(row -> ledger.statements().statedGrants().put(row.key(), row));
         ledger.budgets().rows().forEach(this::keepArchivedTokens);
-        List.copyOf(ledger.holders().rows().filter(row -> !row.succeeded()).toList())
+        ledger.holders()
+                .where(row -> !row.succeeded())
                 .forEach(row -> ledger.holders().put(row.holder(), row.withLostSpan(true)));
     }
 
@@ -124,14 +124,8 @@
         long statedArchivedTokens = stated.settledTokens() - statedByGrantTokens;
         long addedTokens = statedArchivedTokens - archived.find(stated.id()).orElse(0L);
         archived.put(stated.id(), statedArchivedTokens);
-        ledger.budgets()
-                .put(
-                        stated.id(),
-                        new BudgetRow(
-                                stated.id(),
-                                Math.max(known.paidTokens(), stated.paidTokens()),
-                                known.settledTokens() + addedTokens,
-                                known.openTokens()));
+        long missingPaidTokens = Math.max(0, stated.paidTokens() - known.paidTokens());
+        ledger.budgets().put(stated.id(), known.addPaid(missingPaidTokens).addSettled(addedTokens));
     }
 
     private void restateGrants(EraStated record, Predicate<GrantKey> isConcerned) {
@@ -164,16 +158,8 @@
                         0,
                         stated.demandTokensPerHour(),
                         stated.frozen() || known.frozen());
-        BudgetId budget = key.budget();
-        ledger.budgets()
-                .update(
-                        budget,
-                        row ->
-                                new BudgetRow(
-                                        budget,
-                                        row.paidTokens(),
-                                        row.settledTokens() + settledTokens - known.settledTokens(),
-                                        row.openTokens()));
+        long addedTokens = settledTokens - known.settledTokens();
+        ledger.budgets().update(key.budget(), row -> row.addSettled(addedTokens));
         statedGrants.put(key, stated);
         if (restated.openTokens() == 0 && settledTokens == 0) {
             ledger.removeGrant(key);
@@ -203,19 +189,10 @@
         }
     }
 
-    private void recomputeBudgets() {
-        List.copyOf(ledger.budgets().keys().toList())
-                .forEach(
-                        budget ->
-                                ledger.budgets()
-                                        .update(
-                                                budget,
-                                                row ->
-                                                        new BudgetRow(
-                                                                budget,
-                                                                row.paidTokens(),
-                                                                row.settledTokens(),
-                                                                openTokens(budget))));
+    private void sumOpenTokens() {
+        ledger.budgets()
+                .where(row -> true)
+                .forEach(row -> ledger.budgets().put(row.id(), row.withOpen(openTokens(row.id()))));
     }
 
     private long openTokens(BudgetId budget) {
--- a/core/src/main/java/org/bramleylatch/core/LogReplay.java
+++ b/core/src/main/java/org/bramleylatch/core/LogReplay.java
@@ -69,7 +69,8 @@
     /** Lets the keeper go on with the ledger of the new era. */
     static void complete(KeeperWorld world, EraTransition transition) {
         world.completeTransition(transition);
-        List.copyOf(world.grantUses().rows().toList())
+        world.grantUses()
+                .where(row -> true)
                 .forEach(row -> world.grantUses().put(row.budget(), row.withNothingInFlight()));
         world.ledger().budgets().keys().forEach(world.changedBudgets()::add);
         world.setLogReachable(true);
