Complete the batch in flight when the ledger of a new era is taken on

A keeper that had nothing to state went on with the new era's ledger, but its batch in flight, which the copy had, was never read back: sent again it counts as repeated, and the keeper appended nothing any more. Found by reading.

Measured: EraTransitionTest fails without the change.

--- a/core/src/main/java/org/bramleylatch/core/LogReplay.java
+++ b/core/src/main/java/org/bramleylatch/core/LogReplay.java
@@ -62,7 +62,6 @@
                         && stated.era() == transition.era();
         if (isOwnStatement) {
             complete(world, transition);
-            world.writer().inFlightUpTo(entry.sequence()).forEach(own -> applyOwn(world, own));
         }
     }
 
@@ -72,6 +71,7 @@
         world.grantUses()
                 .where(row -> true)
                 .forEach(row -> world.grantUses().put(row.budget(), row.withNothingInFlight()));
+        reconcile(world);
         world.ledger().budgets().keys().forEach(world.changedBudgets()::add);
         world.setLogReachable(true);
         world.note(EventKind.LOG_BACK, world.self(), "position=" + world.position());
