--- a/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/ConfigStream.java
@@ -49,7 +49,8 @@
     public Cancellable follow(
             Consumer<Configuration> onConfiguration,
             Consumer<ConfigReader.ProposalResult> onProposalResult) {
-        return new LogFollower<LogPage>(this::readPage, ReadPace.standard())
+        return new LogFollower<LogPage>(
+                        LogStreams.CONFIGURATION, this::readPage, ReadPace.standard())
                 .follow(
                         page -> receivePage(page, onConfiguration, onProposalResult),
                         this::handleReadFailure);
--- a/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LedgerStream.java
@@ -79,7 +79,8 @@
     }
 
     private Cancellable follow(ReadPace pace, Consumer<ResultCode> onFailure) {
-        return new LogFollower<LogPage>(this::readPage, pace).follow(this::receivePage, onFailure);
+        return new LogFollower<LogPage>(LogStreams.LEDGER, this::readPage, pace)
+                .follow(this::receivePage, onFailure);
     }
 
     private CompletableFuture<LogPage> readPage(long waitMillis) {
--- a/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LogFollower.java
@@ -25,19 +25,23 @@
     private static final Logger LOG = LoggerFactory.getLogger(LogFollower.class);
     private static final Duration FIRST_RETRY_PAUSE = Duration.ofMillis(50);
 
+    private final String stream;
     private final LongFunction<CompletableFuture<P>> readPage;
     private final ReadPace pace;
     private long waitMillis;
+    private int failuresInRow;
     private boolean handled = true;
 
     /**
      * Creates a follower that reads nothing yet.
      *
+     * @param stream the name of the stream in the log
      * @param readPage reads the next page; its argument is how many milliseconds to wait for new
      *     records
      * @param pace the waits and pauses of the reads
      */
-    public LogFollower(LongFunction<CompletableFuture<P>> readPage, ReadPace pace) {
+    public LogFollower(String stream, LongFunction<CompletableFuture<P>> readPage, ReadPace pace) {
+        this.stream = requireNonNull(stream);
         this.readPage = requireNonNull(readPage);
         this.pace = requireNonNull(pace);
     }
@@ -55,7 +59,7 @@
                 Uni.createFrom()
                         .completionStage(() -> readPage.apply(waitMillis))
                         .onItem()
-                        .invoke(page -> waitMillis = pace.waitMillis())
+                        .invoke(page -> noteSuccess())
                         .onItem()
                         .invoke(page -> hand(page, onPage))
                         .onItem()
@@ -74,6 +78,14 @@
                 .with(p -> {});
     }
 
+    private void noteSuccess() {
+        waitMillis = pace.waitMillis();
+        if (failuresInRow > 0) {
+            LOG.info("{}: read again after {} failed reads", stream, failuresInRow);
+            failuresInRow = 0;
+        }
+    }
+
     /** Hands a page over; its consumer's failure says nothing about the platform. */
     private void hand(P page, Consumer<P> onPage) {
         handled = false;
@@ -99,6 +111,14 @@
      * Makes the next read return at once, so that a recovered log is noticed without a long poll.
      */
     private void reportFailure(Throwable failure, Consumer<ResultCode> onFailure) {
+        if (failuresInRow == 0) {
+            LOG.info(
+                    "{}: a read with a wait of {} ms failed: {}",
+                    stream,
+                    waitMillis,
+                    failure.toString());
+        }
+        failuresInRow++;
         waitMillis = 0;
         onFailure.accept(ResultException.codeOf(failure));
     }
--- a/edge/src/test/java/org/bramleylatch/edge/LogFollowerTest.java
+++ b/edge/src/test/java/org/bramleylatch/edge/LogFollowerTest.java
@@ -50,7 +50,7 @@
     private void follow(List<String> pageTexts) {
         pageTexts.forEach(text -> reads.add(CompletableFuture.completedFuture(text)));
         following =
-                new LogFollower<String>(waitMillis -> nextRead(), PACE)
+                new LogFollower<String>("test stream", waitMillis -> nextRead(), PACE)
                         .follow(this::receive, failures::add);
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
@@ -37,6 +37,7 @@
         ReadPace rareChangePace = pace(RARE_CHANGES_WAIT_MILLIS, 0);
         KeyedStream operatorConfig = KeyedStream.operatorConfig(store);
         follow(
+                "operator stream",
                 waitMillis ->
                         operatorConfig.read(
                                 configurationReceiver.isReadingToEnd() ? 0 : waitMillis),
@@ -44,6 +45,7 @@
                 configurationReceiver::receivePage,
                 configurationReceiver::markUnreachable);
         follow(
+                "endpoint registry",
                 KeyedStream.endpoints(store)::read,
                 changePace,
                 endpointRegistry::receivePage,
@@ -51,11 +53,13 @@
         ledgerStream.follow(
                 new ReadPace(settings.storeWaitMillis(), this::ledgerPauseMillis, MAX_RETRY_PAUSE));
         follow(
+                "peers",
                 KeyedStream.peers(store)::read,
                 rareChangePace,
                 peerDirectory::receivePage,
                 code -> {});
         follow(
+                "router reports",
                 KeyedStream.routerReports(store)::read,
                 rareChangePace,
                 reportStore::receivePage,
@@ -73,10 +77,11 @@
     }
 
     private static void follow(
+            String stream,
             LongFunction<CompletableFuture<KeyedPage>> read,
             ReadPace pace,
             Consumer<KeyedPage> onPage,
             Consumer<ResultCode> onFailure) {
-        new LogFollower<>(read, pace).follow(onPage, onFailure);
+        new LogFollower<>(stream, read, pace).follow(onPage, onFailure);
     }
 }
