Parse only the newest valid version, and read skipped ones if it is invalid

Cause: each version that waited was parsed, each after the other. Change: the receiver orders the versions of a page by the number in the document, and parses from the highest one on until one is valid. If a value can't be read, the stream goes back to the changes that it skipped.

--- a/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
@@ -1,5 +1,8 @@
 package org.bramleylatch.gateway;
 
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.ResultCode;
@@ -23,6 +26,7 @@
     private OperatorConfig latest = OperatorConfig.empty();
     private boolean reachable = true;
     private boolean readToEnd;
+    private boolean lastPageUnreadable;
 
     ConfigurationReceiver(Consumer<RouterInput> routerInbox, Consumer<KeeperInput> keeperInbox) {
         this.routerInbox = routerInbox;
@@ -55,8 +59,16 @@
     }
 
     /**
-     * Applies the configurations, then the orders in a page of the operator's stream. An invalid
-     * configuration is logged and skipped; the newest valid one stays in use.
+     * Returns true if the last page had a value that can't be read, so that a value before it which
+     * the page leaves out is still in force.
+     */
+    boolean needsEarlierValues() {
+        return lastPageUnreadable;
+    }
+
+    /**
+     * Applies the newest valid configuration, then the orders in a page of the operator's stream.
+     * An invalid configuration is logged and skipped.
      */
     void receivePage(KeyedPage page) {
         if (!reachable) {
@@ -64,7 +76,8 @@
             LOG.info("operator stream reachable again, configuration revision {}", revision());
         }
         readToEnd |= isKnown() && page.changes().isEmpty();
-        page.applyEach(GUARD, this::readConfiguration);
+        lastPageUnreadable = false;
+        readNewestConfiguration(page);
         page.applyEach(GUARD, this::readOrder);
     }
 
@@ -79,10 +92,34 @@
         }
     }
 
-    private void readConfiguration(KeyedChange change) {
-        if (change.key().equals(OperatorConfig.STREAM_KEY)) {
-            change.value().map(OperatorConfig::parse).ifPresent(this::applyIfNewer);
-        }
+    /** Parses no version that another one replaces, as a parse takes long on a small VM. */
+    private void readNewestConfiguration(KeyedPage page) {
+        page.changes().stream()
+                .filter(change -> change.key().equals(OperatorConfig.STREAM_KEY))
+                .filter(change -> change.value().isPresent())
+                .sorted(Comparator.comparingLong(ConfigurationReceiver::versionToParse).reversed())
+                .filter(change -> versionToParse(change) > revision())
+                .flatMap(change -> parse(change).stream())
+                .findFirst()
+                .ifPresent(this::applyIfNewer);
+    }
+
+    /** Returns the highest number for an unreadable version, so that the log says why. */
+    private static long versionToParse(KeyedChange change) {
+        return change.value()
+                .map(OperatorConfig::peekVersion)
+                .orElseGet(OptionalLong::empty)
+                .orElse(Long.MAX_VALUE);
+    }
+
+    private Optional<OperatorConfig> parse(KeyedChange change) {
+        Optional<OperatorConfig> parsed =
+                GUARD.decode(
+                        change.key(),
+                        change.offset(),
+                        () -> OperatorConfig.parse(change.value().orElseThrow()));
+        lastPageUnreadable |= parsed.isEmpty();
+        return parsed;
     }
 
     private void readOrder(KeyedChange change) {
@@ -93,7 +130,8 @@
         }
     }
 
-    private static void logInvalidOrder(KeyedChange change) {
+    private void logInvalidOrder(KeyedChange change) {
+        lastPageUnreadable = true;
         LOG.warn("ignored an invalid order {} at offset {}", change.key(), change.offset());
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
@@ -38,9 +38,7 @@
         KeyedStream operatorConfig = KeyedStream.operatorConfig(store);
         follow(
                 "operator stream",
-                waitMillis ->
-                        operatorConfig.read(
-                                configurationReceiver.isReadingToEnd() ? 0 : waitMillis),
+                waitMillis -> readOperatorConfig(operatorConfig, waitMillis),
                 changePace,
                 configurationReceiver::receivePage,
                 configurationReceiver::markUnreachable);
@@ -66,6 +64,13 @@
                 code -> {});
     }
 
+    private CompletableFuture<KeyedPage> readOperatorConfig(KeyedStream stream, long waitMillis) {
+        if (configurationReceiver.needsEarlierValues()) {
+            return stream.readSkipped();
+        }
+        return stream.read(configurationReceiver.isReadingToEnd() ? 0 : waitMillis);
+    }
+
     private long ledgerPauseMillis() {
         return isKeeperActive.getAsBoolean()
                 ? settings.ledgerPauseMillis()
--- a/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.RouterInput;
@@ -30,14 +31,14 @@
         assertThat(receiver.isCaughtUp()).isFalse();
         receiver.receivePage(page(2));
         assertThat(receiver.isCaughtUp()).isFalse();
-        receiver.receivePage(page());
+        receiver.receivePage(page(new String[0]));
         assertThat(receiver.isCaughtUp()).isTrue();
         assertThat(receiver.isReadingToEnd()).isFalse();
     }
 
     @Test
     void anEmptyStreamIsWaitedForAndIsNotTheEnd() {
-        receiver.receivePage(page());
+        receiver.receivePage(page(new String[0]));
         assertThat(receiver.isReadingToEnd()).isFalse();
         assertThat(receiver.isCaughtUp()).isFalse();
     }
@@ -49,15 +50,62 @@
         assertThat(receiver.isCaughtUp()).isTrue();
     }
 
+    /** Guards against a VM that is late by the sum of all versions that wait to be parsed. */
+    @Test
+    void onlyTheNewestVersionOfAPageIsApplied() {
+        receiver.receivePage(page(1, 2, 3));
+        assertThat(appliedVersions()).containsExactly(3L);
+    }
+
+    @Test
+    void aLowerVersionBehindAHigherOneIsNotApplied() {
+        receiver.receivePage(page(1, 3, 2));
+        assertThat(appliedVersions()).containsExactly(3L);
+    }
+
+    @Test
+    void theNewestValidVersionOfAPageIsApplied() {
+        String notAConfiguration = "{\"version\": 4, \"routes\": 0}";
+        receiver.receivePage(page(text(2), text(3), notAConfiguration, "{\"version\":", "[]"));
+        assertThat(appliedVersions()).containsExactly(3L);
+        assertThat(receiver.needsEarlierValues()).isTrue();
+        receiver.receivePage(page(text(2)));
+        assertThat(receiver.needsEarlierValues()).isFalse();
+    }
+
+    @Test
+    void aVersionThatDoesNotComeFirstInItsDocumentIsFound() {
+        String text =
+                "{\"tenants\": [{\"name\": \"a\", \"version\": 9}], "
+                        + "\"routes\": [], \"version\": 4}";
+        receiver.receivePage(page(text(5), text));
+        assertThat(appliedVersions()).containsExactly(5L);
+    }
+
+    private List<Long> appliedVersions() {
+        return routerInbox.stream()
+                .map(RouterInput.ConfigurationReceived.class::cast)
+                .map(received -> received.configuration().revision())
+                .toList();
+    }
+
     private static KeyedPage page(int... versions) {
+        return page(
+                IntStream.of(versions)
+                        .mapToObj(ConfigurationReceiverTest::text)
+                        .toArray(String[]::new));
+    }
+
+    private static KeyedPage page(String... texts) {
         List<KeyedChange> changes = new ArrayList<>();
-        for (int version : versions) {
-            String text =
-                    "{\"version\": "
-                            + version
-                            + ", \"routes\": [], \"services\": [], \"tenants\": []}";
-            changes.add(new KeyedChange(OperatorConfig.STREAM_KEY, Optional.of(text), version));
+        for (String text : texts) {
+            changes.add(
+                    new KeyedChange(OperatorConfig.STREAM_KEY, Optional.of(text), changes.size()));
         }
         return new KeyedPage(true, changes);
     }
+
+    private static String text(int version) {
+        return "{\"version\": " + version + ", \"routes\": [], \"services\": [], \"tenants\": []}";
+    }
 }
--- a/wire/src/main/java/org/bramleylatch/wire/Json.java
+++ b/wire/src/main/java/org/bramleylatch/wire/Json.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -27,6 +28,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.bramleylatch.core.AttemptId;
 import org.bramleylatch.core.BudgetId;
@@ -154,6 +156,36 @@
         }
     }
 
+    /**
+     * Reads an integer field of a JSON object and nothing behind it; empty if the text up to there
+     * is no JSON, or has no such integer of 64 bits.
+     */
+    public static OptionalLong peekInteger(String text, String field) {
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            return findField(parser, field)
+                            && parser.nextToken() == JsonToken.VALUE_NUMBER_INT
+                            && parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER
+                    ? OptionalLong.of(parser.getLongValue())
+                    : OptionalLong.empty();
+        } catch (IOException malformed) {
+            return OptionalLong.empty();
+        }
+    }
+
+    private static boolean findField(JsonParser parser, String field) throws IOException {
+        if (parser.nextToken() != JsonToken.START_OBJECT) {
+            return false;
+        }
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            if (parser.currentName().equals(field)) {
+                return true;
+            }
+            parser.nextToken();
+            parser.skipChildren();
+        }
+        return false;
+    }
+
     private static String describe(JsonProcessingException malformed) {
         String where =
                 malformed.getLocation() == null
