--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.bramleylatch.wire.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -133,6 +134,22 @@
         }
     }
 
+    /** Guards against BUDGET: one request, repeated by its caller, crashes server after server. */
+    @Test
+    void aRequestThatCrashedTwoEndpointsOfAPlainServiceIsRefusedAndNoOther() throws Exception {
+        for (int index = 1; index <= 3; index++) {
+            addEndpointThatCrashesAt("i-" + index, "/orders/deadly?q=%20");
+        }
+        harness.configureAndAwaitReady();
+        assertThat(harness.call("/orders/deadly").status()).isEqualTo(502);
+        assertThat(harness.call("/orders/deadly").status()).isEqualTo(502);
+        GatewayHarness.Answer third = harness.call("/orders/deadly");
+        assertThat(third.status()).isEqualTo(503);
+        assertThat(third.body()).contains("PROMPT_QUARANTINED", "not_run");
+        assertThat(harness.receivedRequests).hasSize(2);
+        assertThat(harness.call("/orders/sound").status()).isEqualTo(200);
+    }
+
     @Test
     void aStreamThatEndsWhileTheGatewayStopsIsComplete() throws Exception {
         harness.addEndpoint(
@@ -150,21 +167,36 @@
                 .isEqualTo(GatewayHarness.event(1) + GatewayHarness.event(2));
     }
 
-    /** Adds an endpoint that stops listening and closes its connections once it is asked. */
     private void addCrashingEndpoint(String id) throws Exception {
+        addCrashingEndpoint(id, "llm", request -> true);
+    }
+
+    /** Adds an endpoint that answers all requests but one. */
+    private void addEndpointThatCrashesAt(String id, String uri) throws Exception {
+        addCrashingEndpoint(id, "app", request -> request.uri().equals(uri));
+    }
+
+    /** Adds an endpoint that stops listening and closes its connections at some requests. */
+    private void addCrashingEndpoint(
+            String id, String service, Predicate<HttpServerRequest> isDeadly) throws Exception {
         HttpServer server = harness.vertx.createHttpServer();
         server.requestHandler(
                 request -> {
-                    harness.receivedRequests.add(request);
-                    server.close();
-                    request.connection().close();
+                    if (isDeadly.test(request)) {
+                        harness.receivedRequests.add(request);
+                        server.close();
+                        request.connection().close();
+                    } else {
+                        signed(request).end("done");
+                    }
                 });
         server.listen(0, GatewayHarness.LOOPBACK)
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         harness.store()
-                .putEndpoint(id, "llm", new Address(GatewayHarness.LOOPBACK, server.actualPort()));
+                .putEndpoint(
+                        id, service, new Address(GatewayHarness.LOOPBACK, server.actualPort()));
     }
 
     private static HttpServerResponse signed(HttpServerRequest request) {
