Suspect a whole request, by its fingerprint, of a crash of its endpoint

Cause: what may be to blame for a crash were the shared parts of a prompt. A request to a plain service has none, so its crashes had no suspect, and the last part of a prompt is never one. Class: evidence is kept only of what the first incident of its kind was about. Change: each request has a fingerprint, a hash of caller, method, host, path, query, prompt and body. It is a suspect like a part, told to all routers and kept in the store with the same evidence, and is blamed for what no part explains: of two suspects with the same evidence the part is blamed first, as before. Completed answers of repeats clear it.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -291,6 +291,6 @@
                 + " worstCase="
                 + spec.worstCaseTokens()
                 + " parts="
-                + PromptPartId.describe(spec.promptParts());
+                + PromptPartId.describe(spec.suspectParts());
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/Call.java
+++ b/core/src/main/java/org/bramleylatch/core/Call.java
@@ -17,6 +17,7 @@
  * @param sharedPrefixTokens the length of the prompt prefix that other requests share
  * @param prefixHash a hash of the shared prefix
  * @param sharedPartIds the ids of the prompt's parts that other requests may share, in order
+ * @param fingerprint a hash that only repeats of the request have in common
  * @param arrivedMillis when the head could have been read
  * @param headReadMillis when the head was read; the caller sent it no later
  * @param completedMillis when the end of the body could have been read
@@ -33,6 +34,7 @@
         long sharedPrefixTokens,
         long prefixHash,
         List<String> sharedPartIds,
+        String fingerprint,
         long arrivedMillis,
         long headReadMillis,
         long completedMillis,
--- a/core/src/main/java/org/bramleylatch/core/CallResolver.java
+++ b/core/src/main/java/org/bramleylatch/core/CallResolver.java
@@ -45,6 +45,7 @@
                 new RequestTraits(
                         call.sharedPrefixTokens(),
                         call.sharedPartIds(),
+                        Optional.of(call.fingerprint()),
                         priority,
                         metered,
                         call.headReadMillis() - call.arrivedMillis()));
--- a/core/src/main/java/org/bramleylatch/core/CrashDetection.java
+++ b/core/src/main/java/org/bramleylatch/core/CrashDetection.java
@@ -18,7 +18,7 @@
 record CrashDetection(RouterWorld world, long nowMillis) {
     private static final int MAX_SUSPECTS = 64;
 
-    /** Records the prompt of an attempt whose connection broke before its first token. */
+    /** Records the request of an attempt whose connection broke before its first token. */
     void recordBrokenAttempt(AttemptRow attempt, AttemptFailed failed) {
         boolean isUnanswered =
                 failed.cause() == AttemptFailed.Cause.CONNECTION_LOST
@@ -39,7 +39,7 @@
 
     /** Counts a completed answer for every part of its prompt. */
     void recordCompletedAnswer(RequestSpec spec) {
-        spec.promptParts().forEach(part -> world.crashTables().addClear(part, nowMillis));
+        spec.suspectParts().forEach(part -> world.crashTables().addClear(part, nowMillis));
     }
 
     /**
@@ -131,6 +131,7 @@
         for (int depth = 0; depth < parts.size(); depth++) {
             suspects.add(new SuspectPart(parts.get(depth), depth));
         }
+        spec.wholeId().map(SuspectPart::whole).ifPresent(suspects::add);
         return suspects;
     }
 
--- a/core/src/main/java/org/bramleylatch/core/PromptPartId.java
+++ b/core/src/main/java/org/bramleylatch/core/PromptPartId.java
@@ -6,10 +6,11 @@
 import java.util.stream.Collectors;
 
 /**
- * Identifies a part of a prompt at one back end. The same text at two back ends has two ids, since
- * what one model can't process another may.
+ * Identifies a part of a prompt, or a whole request, at one back end. The same text at two back
+ * ends has two ids, since what one model can't process another may.
  *
- * @param part the caller's id of the part's text; equal texts have equal ids
+ * @param part the caller's id of the part's text, or the request's fingerprint; equal texts have
+ *     equal ids
  */
 public record PromptPartId(String backEnd, String part) implements Comparable<PromptPartId> {
     private static final int MAX_DESCRIBED = 8;
--- a/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
@@ -42,7 +42,7 @@
         return request.deliveredTokens() > 0
                 ? Optional.empty()
                 : world.crashTables()
-                        .findQuarantined(request.spec().promptParts())
+                        .findQuarantined(request.spec().suspectParts())
                         .filter(row -> !isRetrial(world, request, row, nowMillis));
     }
 
@@ -106,7 +106,7 @@
 
     private static boolean isRunningWith(RequestRow request, QuarantineRow row) {
         return request.stage() == Stage.RUNNING
-                && request.spec().promptParts().contains(row.part());
+                && request.spec().suspectParts().contains(row.part());
     }
 
     private static void report(RouterWorld world) {
--- a/core/src/main/java/org/bramleylatch/core/RequestSpec.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestSpec.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Holds a request as it arrived, with its resolved route and budget.
@@ -74,6 +75,16 @@
                 .toList();
     }
 
+    /** Returns the id that only repeats of the request have in common; empty if not known. */
+    public Optional<PromptPartId> wholeId() {
+        return traits.fingerprint().map(hash -> new PromptPartId(backEnd(), hash));
+    }
+
+    /** Returns what may be to blame if the request crashes its endpoint. */
+    public List<PromptPartId> suspectParts() {
+        return Stream.concat(promptParts().stream(), wholeId().stream()).toList();
+    }
+
     /** Returns the tokens to reserve from the budget; 0 if the request isn't metered. */
     public long billableTokens() {
         return traits.metered() ? worstCaseTokens() : 0;
--- a/core/src/test/java/org/bramleylatch/core/LateArrivalTest.java
+++ b/core/src/test/java/org/bramleylatch/core/LateArrivalTest.java
@@ -146,6 +146,7 @@
                 0,
                 0,
                 List.of(),
+                "fingerprint-" + arrivedMillis,
                 arrivedMillis,
                 headReadMillis,
                 completedMillis,
--- a/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
@@ -25,6 +25,24 @@
         assertThat(fleet.crashCount()).isEqualTo(2);
     }
 
+    /** Guards against BUDGET: one request, repeated by its caller, crashes server after server. */
+    @Test
+    void aRequestThatCrashesEndpointsByItselfReachesNoneAfterTwoCrashesWhereverItIsRepeated() {
+        repeatUntilRefused(RouterFleet.CRASHING);
+        fleet.vms().forEach(vm -> fleet.arriveAgain(vm, RouterFleet.CRASHING, "system"));
+        assertThat(fleet.runningCount()).isZero();
+        assertThat(fleet.crashCount()).isEqualTo(2);
+    }
+
+    @Test
+    void otherRequestsWithTheSamePromptPartsAreSentOnBesideOneThatCrashesEndpointsByItself() {
+        fleet.arriveAgain("vm-1", "sound", "system");
+        fleet.answerAll();
+        repeatUntilRefused(RouterFleet.CRASHING);
+        fleet.vms().forEach(vm -> fleet.arriveAgain(vm, "sound-" + vm, "system"));
+        assertThat(fleet.runningCount()).isEqualTo(VMS);
+    }
+
     @Test
     void aQuarantinedRequestIsRefusedAtOnceAsNotRunWithTheTimeOfTheRetrial() {
         crashEndpoints();
@@ -167,6 +185,13 @@
         return fleet.world(vm).crashTables().quarantine().where(row -> true);
     }
 
+    private void repeatUntilRefused(String fingerprint) {
+        for (int attempt = 0; attempt < 4; attempt++) {
+            fleet.arriveAgain("vm-1", fingerprint, "system");
+            fleet.answerAll();
+        }
+    }
+
     private static PromptPartId part(String name) {
         return new PromptPartId("seilhelfer", name);
     }
--- a/core/src/test/java/org/bramleylatch/core/RandomChangesTest.java
+++ b/core/src/test/java/org/bramleylatch/core/RandomChangesTest.java
@@ -183,6 +183,7 @@
                             0,
                             0,
                             List.of(),
+                            "fingerprint-" + count,
                             router.nowMillis(),
                             router.nowMillis(),
                             router.nowMillis(),
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -93,8 +93,22 @@
         return spec.id();
     }
 
+    /** Lets a request arrive that repeats all others with the same fingerprint. */
+    RequestId arriveAgain(String vm, String fingerprint, String... parts) {
+        RequestSpec spec =
+                newSpec(
+                        new RequestTraits(
+                                50, List.of(parts), Optional.of(fingerprint), 0, false, 0));
+        receive(vm, new RouterInput.RequestArrived(spec));
+        return spec.id();
+    }
+
     /** Returns a new request with these shared parts. */
     RequestSpec newSpec(String... parts) {
+        return newSpec(new RequestTraits(50, List.of(parts), 0, false));
+    }
+
+    private RequestSpec newSpec(RequestTraits traits) {
         count++;
         return new RequestSpec(
                 RequestId.of("request-" + count),
@@ -106,7 +120,7 @@
                 10,
                 7,
                 nowMillis + TIMEOUT_MILLIS,
-                new RequestTraits(50, List.of(parts), 0, false));
+                traits);
     }
 
     /** Lets an endpoint answer a router with a limit; empty for an answer without one. */
@@ -283,7 +297,8 @@
         return routers.get(vm)
                 .requests()
                 .find(attempt.request())
-                .map(row -> row.spec().traits().sharedPartIds())
+                .map(row -> row.spec().suspectParts())
+                .map(parts -> parts.stream().map(PromptPartId::part).toList())
                 .orElse(List.of());
     }
 
--- a/core/src/test/java/org/bramleylatch/core/RouterHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterHarness.java
@@ -121,6 +121,7 @@
                                 0,
                                 0,
                                 List.of(),
+                                "fingerprint-" + count,
                                 nowMillis,
                                 nowMillis,
                                 nowMillis,
--- a/edge/src/main/java/org/bramleylatch/edge/Digests.java
+++ b/edge/src/main/java/org/bramleylatch/edge/Digests.java
@@ -1,9 +1,11 @@
 package org.bramleylatch.edge;
 
+import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
-/** Hashes API keys, so that configurations and logs contain no key in plain text. */
+/** Hashes API keys and requests, so that configurations and logs contain none in plain text. */
 public final class Digests {
 
     private Digests() {}
@@ -12,4 +14,11 @@
     public static String sha256(String text) {
         return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
     }
+
+    /** Returns a hash of 128 bits of the texts and the bytes, in lower-case hexadecimal digits. */
+    public static String fingerprint(List<String> texts, byte[] bytes) {
+        Hasher hasher = Hashing.murmur3_128().newHasher();
+        texts.forEach(text -> hasher.putInt(text.length()).putUnencodedChars(text));
+        return hasher.putBytes(bytes).hash().toString();
+    }
 }
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerExchange.java
@@ -74,6 +74,11 @@
         return body.bytes();
     }
 
+    /** Returns a hash of the caller, the call, the prompt and the body, equal for repeats. */
+    String fingerprint() {
+        return head.fingerprint(request, body.bytes());
+    }
+
     /**
      * Ends a request to an endpoint with the body.
      *
--- a/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/CallerServer.java
@@ -244,6 +244,7 @@
                 head.sharedPrefixTokens(),
                 head.prefixHash(),
                 head.sharedPartIds(),
+                exchange.fingerprint(),
                 exchange.arrivedMillis(),
                 exchange.readMillis(),
                 Math.max(exchange.arrivedMillis(), clock.millis() - lag.getAsLong()),
