Suspect a request that crashes its endpoint after its answer has begun

Cause: an attempt whose first token had come was no suspect, so a resumable stream that ends each endpoint after its first event would be resumed at endpoint after endpoint, and its caller's repeats as well. Change: such an attempt names the whole request, but no part of its prompt, as a suspect; a request that has begun is resumed unless it is itself in quarantine.

--- a/core/src/main/java/org/bramleylatch/core/CrashDetection.java
+++ b/core/src/main/java/org/bramleylatch/core/CrashDetection.java
@@ -18,11 +18,13 @@
 record CrashDetection(RouterWorld world, long nowMillis) {
     private static final int MAX_SUSPECTS = 64;
 
-    /** Records the request of an attempt whose connection broke before its first token. */
+    /**
+     * Records the request of an attempt whose connection broke, with the parts of its prompt if
+     * that was before its first token.
+     */
     void recordBrokenAttempt(AttemptRow attempt, AttemptFailed failed) {
-        boolean isUnanswered =
-                failed.cause() == AttemptFailed.Cause.CONNECTION_LOST
-                        && attempt.firstTokenLatencyMillis().isEmpty();
+        boolean isBroken = failed.cause() == AttemptFailed.Cause.CONNECTION_LOST;
+        boolean isUnanswered = attempt.firstTokenLatencyMillis().isEmpty();
         Optional<EndpointRow> endpoint =
                 world.endpoints()
                         .find(attempt.endpoint())
@@ -30,9 +32,9 @@
         List<SuspectPart> suspects =
                 world.requests()
                         .find(attempt.request())
-                        .map(row -> suspectsOf(row.spec()))
+                        .map(row -> suspectsOf(row.spec(), isUnanswered))
                         .orElse(List.of());
-        if (isUnanswered && endpoint.isPresent() && !suspects.isEmpty()) {
+        if (isBroken && endpoint.isPresent() && !suspects.isEmpty()) {
             record(new CrashReport(attempt.endpoint(), nowMillis, suspects));
         }
     }
@@ -125,8 +127,8 @@
                 suspects.subList(0, Math.min(MAX_SUSPECTS, suspects.size())));
     }
 
-    private static List<SuspectPart> suspectsOf(RequestSpec spec) {
-        List<PromptPartId> parts = spec.promptParts();
+    private static List<SuspectPart> suspectsOf(RequestSpec spec, boolean isUnanswered) {
+        List<PromptPartId> parts = isUnanswered ? spec.promptParts() : List.of();
         List<SuspectPart> suspects = new ArrayList<>();
         for (int depth = 0; depth < parts.size(); depth++) {
             suspects.add(new SuspectPart(parts.get(depth), depth));
--- a/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
@@ -35,15 +35,18 @@
     /**
      * Returns the row that keeps the request from all endpoints; empty if it may be sent. Once the
      * retrial of a part is due, one router sends one request with it at a time, and each only once.
-     * A request whose answer has begun did not crash its endpoint and may be resumed.
+     * A request whose answer has begun has no part that crashes endpoints, and may be resumed
+     * unless it crashes them as a whole.
      */
     static Optional<QuarantineRow> findBlocking(
             RouterWorld world, RequestRow request, long nowMillis) {
-        return request.deliveredTokens() > 0
-                ? Optional.empty()
-                : world.crashTables()
-                        .findQuarantined(request.spec().suspectParts())
-                        .filter(row -> !isRetrial(world, request, row, nowMillis));
+        List<PromptPartId> suspects =
+                request.deliveredTokens() > 0
+                        ? request.spec().wholeId().stream().toList()
+                        : request.spec().suspectParts();
+        return world.crashTables()
+                .findQuarantined(suspects)
+                .filter(row -> !isRetrial(world, request, row, nowMillis));
     }
 
     /** Refuses a request and says when the part is tested next. */
--- a/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
@@ -34,6 +34,18 @@
         assertThat(fleet.crashCount()).isEqualTo(2);
     }
 
+    @Test
+    void aRequestThatCrashesEndpointsAfterItsAnswerHasBegunIsResumedOnce() {
+        fleet.arriveAgain("vm-1", RouterFleet.CRASHING, "system");
+        for (int crash = 0; crash < 4; crash++) {
+            fleet.beginAnswers();
+            fleet.answerAll();
+        }
+        fleet.vms().forEach(vm -> fleet.arriveAgain(vm, RouterFleet.CRASHING, "system"));
+        assertThat(fleet.runningCount()).isZero();
+        assertThat(fleet.crashCount()).isEqualTo(2);
+    }
+
     @Test
     void otherRequestsWithTheSamePromptPartsAreSentOnBesideOneThatCrashesEndpointsByItself() {
         fleet.arriveAgain("vm-1", "sound", "system");
--- a/core/src/test/java/org/bramleylatch/core/RouterFleet.java
+++ b/core/src/test/java/org/bramleylatch/core/RouterFleet.java
@@ -218,6 +218,23 @@
         return crashedEndpoints.size();
     }
 
+    /** Lets the answers of all attempts begin. */
+    void beginAnswers() {
+        routers.keySet()
+                .forEach(
+                        vm ->
+                                running(vm)
+                                        .forEach(
+                                                attempt ->
+                                                        receive(
+                                                                vm,
+                                                                new RouterInput.TokensArrived(
+                                                                        attempt.id(),
+                                                                        0,
+                                                                        1,
+                                                                        "text"))));
+    }
+
     /** Returns the attempts of all routers that run now. */
     int runningCount() {
         return routers.keySet().stream().mapToInt(vm -> running(vm).size()).sum();
