Let the raw endpoint of tests ignore a connection without a request

Cause: the stand-in took a connection that is closed without a byte for a request. Change: a behavior gets requests only. No assertion changes; what a behavior counts are requests, as before.

--- a/gateway/src/test/java/org/bramleylatch/gateway/RawEndpoint.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RawEndpoint.java
@@ -66,10 +66,13 @@
         }
     }
 
+    /** Answers a request; a connection that is closed without one is a probe. */
     private static void serve(Socket socket, Behavior behavior) {
         try (socket) {
-            socket.getInputStream().read(new byte[MAX_HEAD_BYTES]);
-            behavior.answer(socket);
+            int headBytes = socket.getInputStream().read(new byte[MAX_HEAD_BYTES]);
+            if (headBytes > 0) {
+                behavior.answer(socket);
+            }
         } catch (IOException | InterruptedException closed) {
             // The gateway closed the connection, which some tests wait for.
         }
