Close the port of a crashing stand-in before its connection

Change: the stand-in closes its port in the same thread before its connection. Assertions are as before; crashes are counted where requests were.

--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -96,7 +96,11 @@
 
     /** Adds an endpoint that answers with any bytes; each connection gets one request. */
     void addRawEndpoint(String service, String id, RawEndpoint.Behavior behavior) throws Exception {
-        RawEndpoint endpoint = RawEndpoint.start(behavior);
+        addRawEndpoint(service, id, RawEndpoint.start(behavior));
+    }
+
+    /** Adds an endpoint that was started by its caller; it is closed with the harness. */
+    void addRawEndpoint(String service, String id, RawEndpoint endpoint) {
         rawEndpoints.add(endpoint);
         store.putEndpoint(id, service, new Address(LOOPBACK, endpoint.port()));
     }
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
@@ -2,13 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
-import org.bramleylatch.wire.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +16,11 @@
 class GatewayTest {
     private static final long AWAIT_TIMEOUT_SECONDS = 20;
 
+    private static final String SOUND_ANSWER =
+            "HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nserver-seal: seal-1\r\n"
+                    + "content-length: 4\r\n\r\ndone";
+
+    private final AtomicInteger crashCount = new AtomicInteger();
     private final GatewayHarness harness = new GatewayHarness();
 
     @BeforeEach
@@ -128,7 +132,7 @@
         assertThat(second.status()).isEqualTo(503);
         assertThat(second.body()).contains("PROMPT_QUARANTINED", "not_run");
         assertThat(Double.parseDouble(second.header("retry-after"))).isGreaterThan(20);
-        assertThat(harness.receivedRequests).hasSize(2);
+        assertThat(crashCount).hasValue(2);
         while (!harness.store().newestValue("keyed.bramleylatch.reports").contains("deadbeef")) {
             TimeUnit.MILLISECONDS.sleep(20);
         }
@@ -146,7 +150,7 @@
         GatewayHarness.Answer third = harness.call("/orders/deadly");
         assertThat(third.status()).isEqualTo(503);
         assertThat(third.body()).contains("PROMPT_QUARANTINED", "not_run");
-        assertThat(harness.receivedRequests).hasSize(2);
+        assertThat(crashCount).hasValue(2);
         assertThat(harness.call("/orders/sound").status()).isEqualTo(200);
     }
 
@@ -168,35 +172,32 @@
     }
 
     private void addCrashingEndpoint(String id) throws Exception {
-        addCrashingEndpoint(id, "llm", request -> true);
+        addCrashingEndpoint(id, "llm", head -> true);
     }
 
     /** Adds an endpoint that answers all requests but one. */
     private void addEndpointThatCrashesAt(String id, String uri) throws Exception {
-        addCrashingEndpoint(id, "app", request -> request.uri().equals(uri));
-    }
-
-    /** Adds an endpoint that stops listening and closes its connections at some requests. */
-    private void addCrashingEndpoint(
-            String id, String service, Predicate<HttpServerRequest> isDeadly) throws Exception {
-        HttpServer server = harness.vertx.createHttpServer();
-        server.requestHandler(
-                request -> {
-                    if (isDeadly.test(request)) {
-                        harness.receivedRequests.add(request);
-                        server.close();
-                        request.connection().close();
-                    } else {
-                        signed(request).end("done");
-                    }
-                });
-        server.listen(0, GatewayHarness.LOOPBACK)
-                .toCompletionStage()
-                .toCompletableFuture()
-                .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-        harness.store()
-                .putEndpoint(
-                        id, service, new Address(GatewayHarness.LOOPBACK, server.actualPort()));
+        addCrashingEndpoint(id, "app", head -> head.contains(' ' + uri + ' '));
+    }
+
+    /**
+     * Adds an endpoint that closes its port, and then its connections, at some requests: a port
+     * that is closed later would make the crash look like a reset connection.
+     */
+    private void addCrashingEndpoint(String id, String service, Predicate<String> isDeadly)
+            throws Exception {
+        harness.addRawEndpoint(
+                service,
+                id,
+                RawEndpoint.start(
+                        (endpoint, head, socket) -> {
+                            if (isDeadly.test(head)) {
+                                crashCount.incrementAndGet();
+                                endpoint.close();
+                            } else {
+                                RawEndpoint.write(socket, SOUND_ANSWER);
+                            }
+                        }));
     }
 
     private static HttpServerResponse signed(HttpServerRequest request) {
--- a/gateway/src/test/java/org/bramleylatch/gateway/RawEndpoint.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RawEndpoint.java
@@ -22,8 +22,20 @@
         this.server = server;
     }
 
+    /** Answers requests by their heads, and may close the endpoint's port. */
+    @FunctionalInterface
+    interface HeadBehavior {
+        void answer(RawEndpoint endpoint, String head, Socket socket)
+                throws IOException, InterruptedException;
+    }
+
     /** Starts an endpoint on a free port of the loopback address. */
     static RawEndpoint start(Behavior behavior) throws IOException {
+        return start((endpoint, head, socket) -> behavior.answer(socket));
+    }
+
+    /** Starts an endpoint whose behavior depends on the head of a request. */
+    static RawEndpoint start(HeadBehavior behavior) throws IOException {
         RawEndpoint endpoint =
                 new RawEndpoint(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
         startThread(() -> endpoint.accept(behavior));
@@ -55,7 +67,7 @@
         socket.close();
     }
 
-    private void accept(Behavior behavior) {
+    private void accept(HeadBehavior behavior) {
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
@@ -67,11 +79,13 @@
     }
 
     /** Answers a request; a connection that is closed without one is a probe. */
-    private static void serve(Socket socket, Behavior behavior) {
+    private void serve(Socket socket, HeadBehavior behavior) {
         try (socket) {
-            int headBytes = socket.getInputStream().read(new byte[MAX_HEAD_BYTES]);
-            if (headBytes > 0) {
-                behavior.answer(socket);
+            byte[] bytes = new byte[MAX_HEAD_BYTES];
+            int length = socket.getInputStream().read(bytes);
+            if (length > 0) {
+                String head = new String(bytes, 0, length, StandardCharsets.ISO_8859_1);
+                behavior.answer(this, head, socket);
             }
         } catch (IOException | InterruptedException closed) {
             // The gateway closed the connection, which some tests wait for.
