Let the crashing stand-in wait until its port refuses connections

Cause: the log shows a probe that connected 1 ms after the crash; the port of a closed server socket still accepted. Change: the stand-in ends a connection only after its port has refused one.

--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayTest.java
@@ -193,7 +193,7 @@
                         (endpoint, head, socket) -> {
                             if (isDeadly.test(head)) {
                                 crashCount.incrementAndGet();
-                                endpoint.close();
+                                endpoint.closePort();
                             } else {
                                 RawEndpoint.write(socket, SOUND_ANSWER);
                             }
--- a/gateway/src/test/java/org/bramleylatch/gateway/RawEndpoint.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RawEndpoint.java
@@ -54,6 +54,22 @@
         }
     }
 
+    /** Closes the port and waits until it refuses connections, which may take a moment. */
+    void closePort() throws InterruptedException {
+        close();
+        while (acceptsConnections()) {
+            Thread.sleep(1);
+        }
+    }
+
+    private boolean acceptsConnections() {
+        try (Socket probe = new Socket(InetAddress.getLoopbackAddress(), port())) {
+            return probe.isConnected();
+        } catch (IOException refused) {
+            return false;
+        }
+    }
+
     /** Writes the text, one byte for each character. */
     static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
