--- a/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/QuarantineSystem.java
@@ -57,7 +57,7 @@
                 row.runState() == RunState.NOT_RUN
                         ? ResultCode.PROMPT_QUARANTINED
                         : ResultCode.ENDPOINT_FAILED,
-                "prompt part " + cause.part().part() + " crashes endpoints",
+                "the request, or a part of its prompt, crashes endpoints: " + cause.part().part(),
                 Optional.of(Math.max(MIN_RETRY_MILLIS, cause.retrialAtMillis() - nowMillis)));
     }
 
--- a/core/src/main/java/org/bramleylatch/core/SuspectPart.java
+++ b/core/src/main/java/org/bramleylatch/core/SuspectPart.java
@@ -15,6 +15,11 @@
         return new SuspectPart(id, WHOLE_REQUEST_DEPTH);
     }
 
+    /** Returns true for a whole request. */
+    boolean isWhole() {
+        return depth == WHOLE_REQUEST_DEPTH;
+    }
+
     /** Returns the occurrence with the greater depth. */
     SuspectPart deeper(SuspectPart other) {
         return other.depth > depth ? other : this;
--- a/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
+++ b/core/src/test/java/org/bramleylatch/core/QuarantineSystemTest.java
@@ -46,6 +46,25 @@
         assertThat(fleet.crashCount()).isEqualTo(2);
     }
 
+    /** Guards against a part that no report names, as whole requests take the places in it. */
+    @Test
+    void aPartIsReportedBeforeTheWholeRequestsThatWereUnansweredBesideIt() {
+        RouterFleet oneEndpoint = new RouterFleet(1, 1);
+        for (int request = 0; request < 100; request++) {
+            oneEndpoint.arriveAgain("vm-1", "sound-" + request);
+        }
+        oneEndpoint.arriveAgain("vm-1", "last", RouterFleet.CRASHING);
+        int running = oneEndpoint.runningCount();
+        oneEndpoint.answerAll();
+        assertThat(running).isEqualTo(101);
+        assertThat(oneEndpoint.world("vm-1").crashTables().ownCrashes().rows())
+                .anySatisfy(
+                        crash ->
+                                assertThat(crash.suspects())
+                                        .extracting(suspect -> suspect.id().part())
+                                        .contains(RouterFleet.CRASHING));
+    }
+
     @Test
     void otherRequestsWithTheSamePromptPartsAreSentOnBesideOneThatCrashesEndpointsByItself() {
         fleet.arriveAgain("vm-1", "sound", "system");
