Log the age of the configuration at a refusal that rests on it

The log named the revision alone, so a read that hangs and a loop that is late could not be told apart. The line now has when the stream was last read to its end and how long the call waited for the loop. No decision is changed.

--- a/core/src/main/java/org/bramleylatch/core/CallResolver.java
+++ b/core/src/main/java/org/bramleylatch/core/CallResolver.java
@@ -60,13 +60,14 @@
                         + " ageMillis="
                         + (nowMillis - call.arrivedMillis())
                         + " waitedMillis="
-                        + (nowMillis - call.completedMillis());
-        long revision = world.configuration().revision();
+                        + (nowMillis - call.completedMillis())
+                        + " "
+                        + ConfigurationAge.of(world, nowMillis);
         world.send(new RouterOutput.Refuse(call.id(), code, RunState.NOT_RUN, detail));
         world.note(
                 EventKind.REQUEST_REFUSED,
                 call.key(),
-                code + " request=" + call.id() + " " + detail + " configuration=" + revision);
+                code + " request=" + call.id() + " " + detail);
         return false;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.bramleylatch.core.RouterInput.ConfigurationConfirmed;
 import org.bramleylatch.core.RouterInput.ConfigurationReceived;
 import org.bramleylatch.core.RouterInput.EndpointReported;
 import org.bramleylatch.core.RouterInput.EndpointsListed;
@@ -34,6 +35,12 @@
         return isNewer;
     }
 
+    /** Records that no newer configuration was in force at the given time. */
+    boolean confirmConfiguration(ConfigurationConfirmed confirmed) {
+        world.confirmConfiguration(confirmed.asOfMillis());
+        return true;
+    }
+
     /**
      * Applies the platform's list. An endpoint that is not listed any more gets no new work and is
      * removed once it runs no request.
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -5,6 +5,7 @@
 import org.bramleylatch.core.RouterInput.CallArrived;
 import org.bramleylatch.core.RouterInput.CallerDisconnected;
 import org.bramleylatch.core.RouterInput.CallerPaused;
+import org.bramleylatch.core.RouterInput.ConfigurationConfirmed;
 import org.bramleylatch.core.RouterInput.ConfigurationReceived;
 import org.bramleylatch.core.RouterInput.EndpointAnnounced;
 import org.bramleylatch.core.RouterInput.EndpointLeaving;
@@ -133,6 +134,7 @@
 
     private static void addFleetHandlers() {
         HANDLERS.on(ConfigurationReceived.class, (tick, m) -> tick.fleet().applyConfiguration(m))
+                .on(ConfigurationConfirmed.class, (tick, m) -> tick.fleet().confirmConfiguration(m))
                 .on(EndpointsListed.class, (tick, m) -> tick.fleet().applyListing(m))
                 .on(EndpointReported.class, (tick, m) -> tick.fleet().applyReport(m))
                 .on(KeeperUp.class, (tick, m) -> tick.fleet().addKeeper(m))
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -24,6 +24,13 @@
     /** Carries a configuration, which is ignored if the router has a newer one. */
     record ConfigurationReceived(Configuration configuration) implements RouterInput {}
 
+    /**
+     * Reports that the configuration's stream was read to its end.
+     *
+     * @param asOfMillis when the read was answered, in milliseconds since the epoch
+     */
+    record ConfigurationConfirmed(long asOfMillis) implements RouterInput {}
+
     /** Carries the platform's complete list of endpoints. */
     record EndpointsListed(List<EndpointRow> endpoints) implements RouterInput {
 
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -44,6 +44,7 @@
     private Configuration configuration = Configuration.empty();
     private HolderSelection holders = HolderSelection.none();
     private Optional<Incarnation> localKeeper = Optional.empty();
+    private long configurationAsOfMillis;
     private boolean stopping;
     private int routerCount = 1;
     private long nextMoveReportMillis;
@@ -258,6 +259,18 @@
         configuration = newer;
     }
 
+    /**
+     * Returns when no newer configuration was in force, in milliseconds since the epoch; 0 if its
+     * stream has not been read to the end yet.
+     */
+    long configurationAsOfMillis() {
+        return configurationAsOfMillis;
+    }
+
+    void confirmConfiguration(long asOfMillis) {
+        configurationAsOfMillis = Math.max(configurationAsOfMillis, asOfMillis);
+    }
+
     long nextMoveReportMillis() {
         return nextMoveReportMillis;
     }
--- a/core/src/test/java/org/bramleylatch/core/CallResolverTest.java
+++ b/core/src/test/java/org/bramleylatch/core/CallResolverTest.java
@@ -238,6 +238,7 @@
         router.receive(
                 new RouterInput.ConfigurationReceived(
                         new Configuration(7, members(), List.of(routes))));
+        router.receive(new RouterInput.ConfigurationConfirmed(router.nowMillis()));
     }
 
     private static List<MemberRow> members() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.RouterInput;
@@ -22,15 +23,26 @@
 
     private final Consumer<RouterInput> routerInbox;
     private final Consumer<KeeperInput> keeperInbox;
+    private final LongSupplier readMillis;
     private Runnable changeListener = () -> {};
     private OperatorConfig latest = OperatorConfig.empty();
     private boolean reachable = true;
     private boolean readToEnd;
     private boolean lastPageUnreadable;
 
-    ConfigurationReceiver(Consumer<RouterInput> routerInbox, Consumer<KeeperInput> keeperInbox) {
+    /**
+     * Creates a receiver.
+     *
+     * @param readMillis supplies when what is handled now can have arrived at the earliest, in
+     *     milliseconds since the epoch
+     */
+    ConfigurationReceiver(
+            Consumer<RouterInput> routerInbox,
+            Consumer<KeeperInput> keeperInbox,
+            LongSupplier readMillis) {
         this.routerInbox = routerInbox;
         this.keeperInbox = keeperInbox;
+        this.readMillis = readMillis;
     }
 
     /** Sets the action that runs after each newer configuration; replaces an earlier action. */
@@ -78,6 +90,7 @@
         readToEnd |= isKnown() && page.changes().isEmpty();
         lastPageUnreadable = false;
         readNewestConfiguration(page);
+        routerInbox.accept(new RouterInput.ConfigurationConfirmed(readMillis.getAsLong()));
         page.applyEach(GUARD, this::readOrder);
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -88,7 +88,10 @@
         this.loopLag = new LoopLag(clock, lagMonitor());
         this.store = new StoreClient(vertx, boot.storeAddress(), clock);
         this.configurationReceiver =
-                new ConfigurationReceiver(routerLoop::offer, keeperLoop::offer);
+                new ConfigurationReceiver(
+                        routerLoop::offer,
+                        keeperLoop::offer,
+                        () -> clock.millis() - loopLag.millis());
         this.endpointRegistry =
                 new EndpointRegistry(
                         name -> configurationReceiver.latest().traitsOf(name), routerLoop::offer);
--- a/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
@@ -19,10 +19,12 @@
  * the one that follows it in the stream.
  */
 class ConfigurationReceiverTest {
+    private static final long READ_MILLIS = 1_700_000_000_000L;
+
     private final List<RouterInput> routerInbox = new ArrayList<>();
     private final List<KeeperInput> keeperInbox = new ArrayList<>();
     private final ConfigurationReceiver receiver =
-            new ConfigurationReceiver(routerInbox::add, keeperInbox::add);
+            new ConfigurationReceiver(routerInbox::add, keeperInbox::add, () -> READ_MILLIS);
 
     @Test
     void theFirstPageIsNotTheEndWhileTheNextOneIsBeingRead() {
@@ -43,6 +45,13 @@
         assertThat(receiver.isCaughtUp()).isFalse();
     }
 
+    @Test
+    void eachPageConfirmsThatNoNewerConfigurationWasInForceWhenItWasRead() {
+        receiver.receivePage(page(new String[0]));
+        assertThat(routerInbox)
+                .containsExactly(new RouterInput.ConfigurationConfirmed(READ_MILLIS));
+    }
+
     @Test
     void aKnownConfigurationStaysInUseWhileTheStreamIsUnreachable() {
         receiver.receivePage(page(1));
@@ -84,6 +93,7 @@
 
     private List<Long> appliedVersions() {
         return routerInbox.stream()
+                .filter(RouterInput.ConfigurationReceived.class::isInstance)
                 .map(RouterInput.ConfigurationReceived.class::cast)
                 .map(received -> received.configuration().revision())
                 .toList();
