Refuse as not run what an old configuration lacks

A 404, 401 or 402 states that the configuration lacks something, which is only as true as the configuration is fresh, and nothing asked how fresh it was: a VM whose read hung or whose loop was late refused for good.

Such a refusal now becomes CONFIGURATION_STALE (503, not run, on a connection that closes, so that the retry reaches another VM) unless the stream was read to its end within the last 1.9 s. Known routes are served whatever the age.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -115,16 +115,17 @@
      * this router: then the local keeper, which knows the same, is asked to confirm.
      */
     private void confirmOrRefuse(RequestRow row, ReserveRefused refused) {
-        Optional<Incarnation> local =
-                world.localKeeper().filter(keeper -> !keeper.equals(refused.keeper()));
-        boolean dependsOnConfiguration =
-                refused.code() == ResultCode.UNKNOWN_BUDGET
-                        || refused.code() == ResultCode.BUDGET_EXHAUSTED;
-        if (local.isPresent() && dependsOnConfiguration) {
+        Optional<Incarnation> local = world.localKeeper();
+        boolean isConfirmed = local.filter(keeper -> !keeper.equals(refused.keeper())).isEmpty();
+        if (!isConfirmed && ConfigurationAge.isAbsence(refused.code())) {
             Borrowing.askOnly(world, row, local.get(), limits, nowMillis);
-        } else {
-            RequestCompletion.refuse(world, row, refused.code(), "tokens could not be reserved");
+            return;
         }
+        // Without a local keeper, budgets come from the log and not from the configuration.
+        ConfigurationAge age = ConfigurationAge.of(world, nowMillis);
+        ResultCode code = local.isPresent() ? age.qualify(refused.code()) : refused.code();
+        RequestCompletion.refuse(
+                world, row, code, "tokens could not be reserved: " + refused.code() + " " + age);
     }
 
     private void markAnswering(Incarnation keeper) {
--- a/core/src/main/java/org/bramleylatch/core/CallResolver.java
+++ b/core/src/main/java/org/bramleylatch/core/CallResolver.java
@@ -51,7 +51,9 @@
                         call.headReadMillis() - call.arrivedMillis()));
     }
 
-    private boolean refuse(Call call, ResultCode code) {
+    private boolean refuse(Call call, ResultCode reason) {
+        ConfigurationAge age = ConfigurationAge.of(world, nowMillis);
+        ResultCode code = age.qualify(reason);
         String detail =
                 "host="
                         + call.host()
@@ -62,12 +64,12 @@
                         + " waitedMillis="
                         + (nowMillis - call.completedMillis())
                         + " "
-                        + ConfigurationAge.of(world, nowMillis);
+                        + age;
         world.send(new RouterOutput.Refuse(call.id(), code, RunState.NOT_RUN, detail));
         world.note(
                 EventKind.REQUEST_REFUSED,
                 call.key(),
-                code + " request=" + call.id() + " " + detail);
+                code + " reason=" + reason + " request=" + call.id() + " " + detail);
         return false;
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/RetryAdvice.java
+++ b/core/src/main/java/org/bramleylatch/core/RetryAdvice.java
@@ -23,7 +23,9 @@
 
     /** Returns true if the connection is to be closed, so that the caller reaches another VM. */
     public static boolean isForAnotherVm(ResultCode code) {
-        return code == ResultCode.VM_OVERLOADED || code == ResultCode.SHUTTING_DOWN;
+        return code == ResultCode.VM_OVERLOADED
+                || code == ResultCode.SHUTTING_DOWN
+                || code == ResultCode.CONFIGURATION_STALE;
     }
 
     /** Returns the milliseconds after which a request refused with the code may be served. */
