--- a/bench/src/main/java/org/bramleylatch/bench/GatewayCostMain.java
+++ b/bench/src/main/java/org/bramleylatch/bench/GatewayCostMain.java
@@ -62,12 +62,20 @@
                 measurement.run();
             }
         } finally {
-            measurement.gateways.forEach(Process::destroy);
+            measurement.stopGateways();
             // Its threads would keep the process alive after a failure.
             vertx.close();
         }
     }
 
+    /** Waits for the end of the processes, which keep their ports until then. */
+    private void stopGateways() throws InterruptedException {
+        gateways.forEach(Process::destroy);
+        for (Process gateway : gateways) {
+            gateway.waitFor();
+        }
+    }
+
     private void run() throws IOException, InterruptedException {
         List<LinearFit.Point> idleCosts = new ArrayList<>();
         for (int peers : PEERS) {
