Reach endpoints through a peer while this VM is cut off from them

A VM had one path to an endpoint and took what it could not reach for what can't be reached.

After a failed connection, peers are now asked to connect to the endpoint, which tells a link that is down from an endpoint that is gone. The connections of attempts to such endpoints, or to all once several links went down in a row, pass through a peer, which carries bytes as a SOCKS 5 server and decides nothing: tokens, attempts, deadlines and answers stay with the VM that took the request. An answer without a length is never complete through a peer, as the end of the peer looks the same.

--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -37,6 +37,7 @@
         new EndpointProbes(world, nowMillis).recordAnswer(row.endpoint());
         if (row.firstTokenLatencyMillis().isEmpty()) {
             recordStart(row);
+            row.via().ifPresent(new EndpointPaths(world, nowMillis)::recordPeerSuccess);
         }
         if (row.unprocessedPromptTokens() > 0) {
             world.endpoints()
@@ -97,6 +98,7 @@
         }
         countForMove(attempt.get(), answered.status() < FIRST_SERVER_ERROR_STATUS);
         recordStart(attempt.get());
+        attempt.get().via().ifPresent(new EndpointPaths(world, nowMillis)::recordPeerSuccess);
         new EndpointProbes(world, nowMillis).recordAnswer(attempt.get().endpoint());
         world.endpoints()
                 .update(
@@ -123,18 +125,21 @@
         }
         world.send(new RouterOutput.CancelAttempt(failed.attempt()));
         EndpointId endpoint = attempt.get().endpoint();
+        recordPath(attempt.get(), failed);
         countForMove(attempt.get(), false);
         if (isSignOfOverload(attempt.get(), failed)) {
             world.endpoints().update(attempt.get().endpoint(), row -> row.overloaded(nowMillis));
         }
         new CrashDetection(world, nowMillis).recordBrokenAttempt(attempt.get(), failed);
-        world.endpoints()
-                .update(
-                        endpoint,
-                        row ->
-                                failed.connected()
-                                        ? row.attemptFailed(nowMillis)
-                                        : row.connectionFailed(nowMillis));
+        if (failed.cause() != AttemptFailed.Cause.PATH_FAILED) {
+            world.endpoints()
+                    .update(
+                            endpoint,
+                            row ->
+                                    failed.connected()
+                                            ? row.attemptFailed(nowMillis)
+                                            : row.connectionFailed(nowMillis));
+        }
         world.note(
                 EventKind.ATTEMPT_FAILED,
                 failed.attempt(),
@@ -146,6 +151,16 @@
         return true;
     }
 
+    /** Records what the failed connection shows of the path that the attempt took. */
+    private void recordPath(AttemptRow attempt, AttemptFailed failed) {
+        EndpointPaths paths = new EndpointPaths(world, nowMillis);
+        if (failed.cause() == AttemptFailed.Cause.PATH_FAILED) {
+            attempt.via().ifPresent(paths::recordPeerFailure);
+        } else if (!failed.connected() && attempt.via().isEmpty()) {
+            paths.recordDirectFailure(attempt.endpoint());
+        }
+    }
+
     /** Pauses or resumes reading from the endpoint, and queues a parked request for resumption. */
     boolean pauseOrResume(CallerPaused paused) {
         Optional<RequestRow> request = world.requests().find(paused.request());
--- a/core/src/main/java/org/bramleylatch/core/AttemptRow.java
+++ b/core/src/main/java/org/bramleylatch/core/AttemptRow.java
@@ -13,6 +13,7 @@
  * @param lastProgressMillis when the attempt last made progress or was paused or resumed; {@code
  *     startedMillis} at first
  * @param paused true while the caller reads too slowly
+ * @param via the peer VM that carries the connection; empty for a direct one
  */
 public record AttemptRow(
         AttemptId id,
@@ -24,7 +25,34 @@
         long startedMillis,
         long firstTokenAtMillis,
         long lastProgressMillis,
-        boolean paused) {
+        boolean paused,
+        Optional<String> via) {
+
+    /** Makes an attempt over a direct connection. */
+    public AttemptRow(
+            AttemptId id,
+            RequestId request,
+            EndpointId endpoint,
+            long worstCaseTokens,
+            long unprocessedPromptTokens,
+            long nextPosition,
+            long startedMillis,
+            long firstTokenAtMillis,
+            long lastProgressMillis,
+            boolean paused) {
+        this(
+                id,
+                request,
+                endpoint,
+                worstCaseTokens,
+                unprocessedPromptTokens,
+                nextPosition,
+                startedMillis,
+                firstTokenAtMillis,
+                lastProgressMillis,
+                paused,
+                Optional.empty());
+    }
 
     /** Returns the attempt after the given number of expected tokens arrived. */
     public AttemptRow tokensReceived(long tokens, long nowMillis) {
@@ -38,7 +66,8 @@
                 startedMillis,
                 firstTokenAtMillis == 0 ? nowMillis : firstTokenAtMillis,
                 nowMillis,
-                paused);
+                paused,
+                via);
     }
 
     /** Returns the time from the start to the first token; empty until it arrives. */
@@ -60,6 +89,7 @@
                 startedMillis,
                 firstTokenAtMillis,
                 nowMillis,
-                isPaused);
+                isPaused,
+                via);
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -31,6 +31,12 @@
     ATTEMPT_SILENT,
     /** An attempt was cancelled to free its endpoint while the caller does not read. */
     ATTEMPT_PARKED,
+    /** An endpoint is out of this VM's reach but not of a peer's, which carries attempts now. */
+    LINK_DOWN,
+    /** An endpoint is in this VM's reach again. */
+    LINK_UP,
+    /** This VM is cut off from its endpoints; peers carry all attempts. */
+    LINKS_CUT,
     /** An endpoint broke attempts off and then refused a connection. */
     ENDPOINT_CRASHED,
     /** An endpoint broke attempts off but still accepts connections. */
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/LinkRow.java
@@ -0,0 +1,32 @@
+package org.bramleylatch.core;
+
+/**
+ * Tracks the direct path from this VM to an endpoint after a connection over it could not be
+ * established.
+ *
+ * @param failedMillis when a direct connection failed last
+ * @param askedMillis when peers were asked last whether they reach the endpoint; 0 if never
+ * @param isDown true once a peer has reached the endpoint, so that the path is at fault
+ */
+record LinkRow(EndpointId endpoint, long failedMillis, long askedMillis, boolean isDown) {
+
+    /** Returns the link of an endpoint after its first failed connection. */
+    static LinkRow suspected(EndpointId endpoint, long nowMillis) {
+        return new LinkRow(endpoint, nowMillis, 0, false);
+    }
+
+    /** Returns the link after another direct connection failed. */
+    LinkRow failedAgain(long nowMillis) {
+        return new LinkRow(endpoint, nowMillis, askedMillis, isDown);
+    }
+
+    /** Returns the link after peers were asked. */
+    LinkRow asked(long nowMillis) {
+        return new LinkRow(endpoint, failedMillis, nowMillis, isDown);
+    }
+
+    /** Returns the link after a peer reached the endpoint. */
+    LinkRow down() {
+        return new LinkRow(endpoint, failedMillis, askedMillis, true);
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/PlacementSystem.java
@@ -184,6 +184,7 @@
         long worstCaseTokens = spec.worstCaseTokens();
         world.queuedRequests().remove(spec.id());
         RequestRow started = row.attemptStarted(attempt, endpoint.id());
+        Optional<String> via = new EndpointPaths(world, nowMillis).choose(endpoint.id(), attempt);
         AttemptRow attemptRow =
                 new AttemptRow(
                         attempt,
@@ -195,7 +196,8 @@
                         nowMillis,
                         0,
                         nowMillis,
-                        false);
+                        false,
+                        via);
         world.requests().put(spec.id(), started);
         world.attempts().put(attempt, attemptRow);
         world.endpoints()
@@ -207,11 +209,19 @@
         reportAttempt(world, row, attempt, endpoint.id());
         world.send(
                 new RouterOutput.StartAttempt(
-                        attempt, spec.id(), endpoint.id(), row.deliveredTokens()));
+                        attempt, spec.id(), endpoint.id(), row.deliveredTokens(), via));
+        noteStart(world, spec, attemptRow);
+    }
+
+    private static void noteStart(RouterWorld world, RequestSpec spec, AttemptRow attempt) {
         world.note(
                 EventKind.ATTEMPT_STARTED,
                 spec.key(),
-                "attempt=" + attempt + " endpoint=" + endpoint.id());
+                "attempt="
+                        + attempt.id()
+                        + " endpoint="
+                        + attempt.endpoint()
+                        + attempt.via().map(peer -> " via=" + peer).orElse(""));
     }
 
     private static void reportAttempt(
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -23,6 +23,7 @@
 import org.bramleylatch.core.RouterInput.LocalKeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
 import org.bramleylatch.core.RouterInput.OutputFailed;
+import org.bramleylatch.core.RouterInput.PathProbed;
 import org.bramleylatch.core.RouterInput.RateLimitObserved;
 import org.bramleylatch.core.RouterInput.RegistryReachabilityReported;
 import org.bramleylatch.core.RouterInput.ReportReceived;
@@ -127,6 +128,7 @@
                         RegistryReachabilityReported.class,
                         (tick, m) -> tick.registry().applyReachability(m))
                 .on(EndpointProbed.class, (tick, m) -> tick.silences().applyProbe(m))
+                .on(PathProbed.class, (tick, m) -> tick.silences().applyPathProbe(m))
                 .on(EndpointLeaving.class, (tick, m) -> tick.signals().applyLeaving(m))
                 .on(EndpointPaused.class, (tick, m) -> tick.signals().applyPause(m))
                 .on(RateLimitObserved.class, (tick, m) -> tick.rateLimits().applyObservation(m));
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -140,6 +140,8 @@
         public enum Cause {
             /** No connection could be established. */
             NOT_CONNECTED,
+            /** The peer that was to carry the connection could not be used. */
+            PATH_FAILED,
             /** The endpoint closed or reset the connection before the answer was complete. */
             CONNECTION_LOST,
             /** The connection is open but nothing came; counted as overload when noticed. */
@@ -155,7 +157,7 @@
 
         /** Returns true if a connection to the endpoint was established. */
         public boolean connected() {
-            return cause != Cause.NOT_CONNECTED;
+            return cause != Cause.NOT_CONNECTED && cause != Cause.PATH_FAILED;
         }
     }
 
@@ -176,6 +178,21 @@
         }
     }
 
+    /** Reports whether a peer could connect to an endpoint for this router. */
+    record PathProbed(EndpointId endpoint, String peer, Outcome outcome, String detail)
+            implements RouterInput {
+
+        /** Lists what a connection through a peer can show. */
+        public enum Outcome {
+            /** The endpoint accepted the connection. */
+            CONNECTED,
+            /** The peer tried and could not connect to the endpoint. */
+            ENDPOINT_FAILED,
+            /** The peer was not reached, did not answer in time or carries no connections. */
+            PEER_FAILED
+        }
+    }
+
     /**
      * Reports the limit that an endpoint names in an answer.
      *
--- a/core/src/main/java/org/bramleylatch/core/RouterOutput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterOutput.java
@@ -8,9 +8,25 @@
     /** Carries a message to a keeper. */
     record ToKeeper(Incarnation keeper, KeeperInput message) implements RouterOutput {}
 
-    /** Sends a request to an endpoint, which starts its answer at the given token position. */
-    record StartAttempt(AttemptId attempt, RequestId request, EndpointId endpoint, long position)
-            implements RouterOutput {}
+    /**
+     * Sends a request to an endpoint, which starts its answer at the given token position.
+     *
+     * @param via the peer VM that carries the connection; empty for a direct one
+     */
+    record StartAttempt(
+            AttemptId attempt,
+            RequestId request,
+            EndpointId endpoint,
+            long position,
+            Optional<String> via)
+            implements RouterOutput {
+
+        /** Makes an attempt over a direct connection. */
+        public StartAttempt(
+                AttemptId attempt, RequestId request, EndpointId endpoint, long position) {
+            this(attempt, request, endpoint, position, Optional.empty());
+        }
+    }
 
     /** Cancels an attempt at its endpoint. */
     record CancelAttempt(AttemptId attempt) implements RouterOutput {}
@@ -53,6 +69,9 @@
     /** Opens a connection to an endpoint and closes it again; no request is sent. */
     record ProbeEndpoint(EndpointId endpoint) implements RouterOutput {}
 
+    /** Asks a peer VM to connect to an endpoint; no request is sent. */
+    record ProbePath(EndpointId endpoint, String peer) implements RouterOutput {}
+
     /** Tells the operator how an order stands. */
     record ReportRollout(RolloutOrder order, MoveRow.State state) implements RouterOutput {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterTick.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTick.java
@@ -31,6 +31,10 @@
         return new SilenceDetection(world, limits, nowMillis);
     }
 
+    EndpointPaths paths() {
+        return new EndpointPaths(world, nowMillis);
+    }
+
     RateLimits rateLimits() {
         return new RateLimits(world, nowMillis);
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterTimer.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimer.java
@@ -33,6 +33,9 @@
     /** Places waiting requests once endpoints with a limit may take them. */
     record PermitCheck() implements RouterTimer {}
 
+    /** Checks whether direct paths to endpoints that were down are up again. */
+    record PathCheck() implements RouterTimer {}
+
     /** Drops evidence of crashes that has expired. */
     record EvidenceExpiry() implements RouterTimer {}
 
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -35,6 +35,7 @@
                     .on(RouterTimer.EvidenceExpiry.class, (tick, due) -> true)
                     .on(RouterTimer.PermitCheck.class, (tick, due) -> true)
                     .on(RouterTimer.RolloutCheck.class, (tick, due) -> true)
+                    .on(RouterTimer.PathCheck.class, RouterTimerSystem::checkPaths)
                     .on(
                             UsageHoldTimeout.class,
                             (tick, due) -> Settlements.finishAnswer(tick.world(), due.key()));
@@ -45,6 +46,11 @@
         world.timers().takeDue(nowMillis).forEach(failures.guard(due -> HANDLERS.apply(tick, due)));
     }
 
+    private static boolean checkPaths(RouterTick tick, RouterTimer.PathCheck due) {
+        tick.paths().check();
+        return true;
+    }
+
     private static boolean endSilence(RouterTick tick, RouterTimer.KeeperRetrial due) {
         return tick.world().silentKeepers().remove(due.keeper());
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -32,6 +32,7 @@
     private final Table<LimitSource, EndpointLimit> heardLimits = Table.empty();
     private final Table<EndpointId, Long> endpointPauses = Table.empty();
     private final Table<AttemptId, SilenceRow> silences = Table.empty();
+    private final PathTables paths = new PathTables();
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
@@ -238,6 +239,16 @@
         return silences;
     }
 
+    /** Returns what is known about the paths to endpoints. */
+    PathTables paths() {
+        return paths;
+    }
+
+    /** Returns true if this VM is cut off from its endpoints, and must not be a path for others. */
+    public boolean isCutOff(long nowMillis) {
+        return new EndpointPaths(this, nowMillis).isCutOff();
+    }
+
     /** Returns what is known about prompts that crash endpoints. */
     CrashTables crashTables() {
         return crashTables;
--- a/core/src/main/java/org/bramleylatch/core/SilenceDetection.java
+++ b/core/src/main/java/org/bramleylatch/core/SilenceDetection.java
@@ -5,6 +5,7 @@
 import org.bramleylatch.core.RouterInput.AttemptFailed;
 import org.bramleylatch.core.RouterInput.EndpointProbed;
 import org.bramleylatch.core.RouterInput.EndpointProbed.Outcome;
+import org.bramleylatch.core.RouterInput.PathProbed;
 
 /**
  * Handles attempts whose endpoint is silent, on routes that wait for silent endpoints. A sound
@@ -40,13 +41,14 @@
         long sentMillis = before.map(EndpointContact::probedMillis).orElse(nowMillis);
         long unreachableMillis = before.map(EndpointContact::unreachableMillis).orElse(0L);
         for (AttemptRow attempt : silentAttempts(endpoint, sentMillis)) {
-            if (showsDeath(probed, unreachableMillis, attempt)) {
+            if (attempt.via().isEmpty() && showsDeath(probed, unreachableMillis, attempt)) {
                 failDead(attempt, probed);
             }
         }
         CrashDetection crashes = new CrashDetection(world, nowMillis);
         crashes.applyProbe(probed, sentMillis);
         probes.recordOutcome(probed);
+        recordPath(probed);
         if (crashes.isUnconfirmed(endpoint)) {
             probes.probe(endpoint);
         } else if (probed.outcome() == Outcome.UNREACHABLE
@@ -56,6 +58,39 @@
         return true;
     }
 
+    /** Fails the silent attempts that take a path on which the endpoint can't be reached. */
+    boolean applyPathProbe(PathProbed probed) {
+        boolean connected = new EndpointPaths(world, nowMillis).applyProbe(probed);
+        if (!connected) {
+            silentAttempts(probed.endpoint(), nowMillis).stream()
+                    .filter(row -> row.via().filter(probed.peer()::equals).isPresent())
+                    .filter(row -> isNoticed(row))
+                    .forEach(
+                            row ->
+                                    fail(
+                                            row,
+                                            AttemptFailed.Cause.SILENT,
+                                            "path=" + probed.outcome() + " " + probed.detail()));
+        }
+        return connected;
+    }
+
+    private boolean isNoticed(AttemptRow attempt) {
+        return world.silences()
+                .find(attempt.id())
+                .filter(row -> row.sinceMillis() == attempt.lastProgressMillis())
+                .isPresent();
+    }
+
+    private void recordPath(EndpointProbed probed) {
+        EndpointPaths paths = new EndpointPaths(world, nowMillis);
+        if (probed.outcome() == Outcome.CONNECTED) {
+            paths.recordDirectContact(probed.endpoint());
+        } else if (probed.outcome() != Outcome.NOT_TRIED) {
+            paths.recordDirectFailure(probed.endpoint());
+        }
+    }
+
     /**
      * Returns true if the probe leaves the attempt no hope. An endpoint that is leaving may close
      * its port before it has finished its requests. A path that is gone may come back, so an
@@ -132,7 +167,7 @@
             return;
         }
         long silentMillis = nowMillis - attempt.lastProgressMillis();
-        String probe = new EndpointProbes(world, nowMillis).probeSilent(attempt.endpoint());
+        String probe = probe(attempt);
         long delayMillis = Math.max(silentMillis, EndpointContact.MIN_PROBE_INTERVAL_MILLIS);
         world.silences()
                 .put(
@@ -146,6 +181,16 @@
         }
     }
 
+    /** Probes the endpoint on the path of the attempt. */
+    private String probe(AttemptRow attempt) {
+        if (attempt.via().isEmpty()) {
+            return new EndpointProbes(world, nowMillis).probeSilent(attempt.endpoint());
+        }
+        String peer = attempt.via().get();
+        world.send(new RouterOutput.ProbePath(attempt.endpoint(), peer));
+        return "sent via " + peer;
+    }
+
     private void note(AttemptRow attempt, SilenceLimit limit, String probe, RequestRow request) {
         world.note(
                 EventKind.ATTEMPT_SILENT,
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -38,6 +38,7 @@
     private final AttemptId attempt;
     private final EndpointId endpoint;
     private final CallerExchange exchange;
+    private final boolean isRelayed;
     private final EventRelay events;
     private final AnswerReader.Factory readers;
     private final Consumer<RouterInput> inbox;
@@ -53,6 +54,7 @@
     /**
      * Creates a call; nothing is sent yet.
      *
+     * @param isRelayed whether a peer carries the connection
      * @param events receives the events of a streamed answer
      * @param readers reads the answer
      * @param bufferBudget bounds what all calls hold of incomplete answers
@@ -62,6 +64,7 @@
             AttemptId attempt,
             EndpointId endpoint,
             CallerExchange exchange,
+            boolean isRelayed,
             EventRelay events,
             AnswerReader.Factory readers,
             ByteBudget bufferBudget,
@@ -70,6 +73,7 @@
         this.attempt = attempt;
         this.endpoint = endpoint;
         this.exchange = exchange;
+        this.isRelayed = isRelayed;
         this.events = events;
         this.readers = readers;
         this.bufferBudget = bufferBudget;
@@ -110,14 +114,16 @@
         }
     }
 
-    /** Reports that no connection could be opened; the request certainly did not run. */
-    void connectionFailed(Throwable failure) {
+    /**
+     * Reports that no connection could be opened; the request certainly did not run.
+     *
+     * @param cause whether the endpoint or the path to it failed
+     */
+    void connectionFailed(Throwable failure, Cause cause) {
         if (!finished) {
             finished = true;
             String detail = endpoint + " not connected: " + failure.getMessage();
-            inbox.accept(
-                    new RouterInput.AttemptFailed(
-                            attempt, RunState.NOT_RUN, detail, Cause.NOT_CONNECTED));
+            inbox.accept(new RouterInput.AttemptFailed(attempt, RunState.NOT_RUN, detail, cause));
         }
     }
 
@@ -216,7 +222,7 @@
         if (head.isEventStream()) {
             readStream(answer, head.endsWithConnection());
         } else {
-            readWhole(answer);
+            readWhole(answer, head.endsWithConnection());
         }
     }
 
@@ -289,6 +295,9 @@
     }
 
     private void endStream(EventSplitter splitter, boolean endsWithConnection) {
+        if (loseUnprovenEnd(endsWithConnection)) {
+            return;
+        }
         if (splitter.hasUnfinishedEvent()) {
             fail(
                     RunState.RAN,
@@ -302,14 +311,32 @@
         }
     }
 
-    private void readWhole(HttpClientResponse answer) {
+    private void readWhole(HttpClientResponse answer, boolean endsWithConnection) {
         int status = answer.statusCode();
         Buffer body = Buffer.buffer();
         read(
                 answer,
                 bytes -> appendToWhole(body, bytes),
                 OptionalInt::empty,
-                () -> receiveWhole(status, body.toString(StandardCharsets.ISO_8859_1)));
+                () -> {
+                    if (!loseUnprovenEnd(endsWithConnection)) {
+                        receiveWhole(status, body.toString(StandardCharsets.ISO_8859_1));
+                    }
+                });
+    }
+
+    /**
+     * Takes the end of a connection that a peer carries for its loss, as a peer that ends closes it
+     * in the same way as an endpoint at the end of its answer.
+     *
+     * @return true if the end was taken for a loss
+     */
+    private boolean loseUnprovenEnd(boolean endsWithConnection) {
+        boolean isUnproven = isRelayed && endsWithConnection;
+        if (isUnproven) {
+            loseConnection("connection through a peer closed, the answer has no other end");
+        }
+        return isUnproven;
     }
 
     private void appendToWhole(Buffer body, Buffer bytes) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -1,16 +1,13 @@
 package org.bramleylatch.gateway;
 
-import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.ProxyOptions;
 import java.net.ConnectException;
-import java.net.NoRouteToHostException;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
@@ -26,7 +23,8 @@
 import org.bramleylatch.core.RequestId;
 import org.bramleylatch.core.RequestSpec;
 import org.bramleylatch.core.RouterInput;
-import org.bramleylatch.core.RouterInput.EndpointProbed.Outcome;
+import org.bramleylatch.core.RouterInput.AttemptFailed.Cause;
+import org.bramleylatch.core.RouterInput.PathProbed;
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.core.StreamBound;
@@ -44,13 +42,7 @@
      * Covers many round trips between zones. TCP retransmits a lost packet of the handshake only
      * after this time, so a new attempt is faster.
      */
-    private static final int CONNECT_TIMEOUT_MILLIS = 300;
-
-    /**
-     * Longer than TCP takes to retransmit a lost packet of the handshake, so that neither a single
-     * lost packet nor a path that is silent for a second makes an endpoint look dead.
-     */
-    private static final int PROBE_TIMEOUT_MILLIS = 1_300;
+    static final int CONNECT_TIMEOUT_MILLIS = 300;
 
     private static final int MAX_CONNECTIONS = 128;
     private static final int KEEP_ALIVE_SECONDS = 5;
@@ -68,9 +60,9 @@
     private final ToIntFunction<String> tokensPerEvent;
     private final Consumer<RouterInput> inbox;
     private final Consumer<Event> timeline;
+    private final PeerPaths peers;
     private final HttpClient keepAliveClient;
     private final HttpClient singleUseClient;
-    private final NetClient probeClient;
     private final ByteBudget bufferBudget = new ByteBudget(MAX_BUFFERED_BYTES);
     private final EndpointConnections connections = new EndpointConnections();
     private final Map<AttemptId, EndpointCall> calls = new HashMap<>();
@@ -85,10 +77,12 @@
      * @param specs finds the parameters of an open request
      * @param tokensPerEvent returns the number of tokens in one event of a back end's stream
      * @param timeline receives an event when an attempt is answered or ends unanswered
+     * @param peers finds the peers that carry connections
      */
     EndpointClient(
             Vertx vertx,
             InstantSource clock,
+            PeerPaths peers,
             Function<EndpointId, Optional<EndpointEntry>> registry,
             Function<RequestId, Optional<CallerExchange>> exchanges,
             Function<RequestId, Optional<RequestSpec>> specs,
@@ -97,6 +91,7 @@
             Consumer<Event> timeline) {
         this.vertx = vertx;
         this.clock = clock;
+        this.peers = peers;
         this.registry = registry;
         this.exchanges = exchanges;
         this.specs = specs;
@@ -110,9 +105,6 @@
                         clientOptions().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
                         pool);
         this.singleUseClient = vertx.createHttpClient(clientOptions().setKeepAlive(false), pool);
-        this.probeClient =
-                vertx.createNetClient(
-                        new NetClientOptions().setConnectTimeout(PROBE_TIMEOUT_MILLIS));
     }
 
     /**
@@ -127,19 +119,25 @@
             reportNotStarted(start.attempt(), "no caller, request or endpoint address");
             return;
         }
+        Optional<ProxyOptions> proxy = start.via().flatMap(peers::through);
+        if (start.via().isPresent() && proxy.isEmpty()) {
+            reportNotStarted(
+                    start.attempt(), "no path through " + start.via().get(), Cause.PATH_FAILED);
+            return;
+        }
         EndpointCall call = newCall(start, exchange.get(), spec.get());
         calls.put(start.attempt(), call);
         connect(
                 clientFor(spec.get()),
                 exchange.get(),
-                new Sending(start, call, spec.get(), entry.get()));
+                new Sending(start, call, spec.get(), entry.get(), proxy));
     }
 
     private void connect(HttpClient client, CallerExchange exchange, Sending sending) {
         try {
-            client.request(requestOptions(exchange, sending.entry()))
+            client.request(requestOptions(exchange, sending))
                     .onSuccess(request -> sendLater(request, sending))
-                    .onFailure(sending.call()::connectionFailed);
+                    .onFailure(failure -> reportNotConnected(sending, failure));
         } catch (RuntimeException refused) {
             AttemptId attempt = sending.start().attempt();
             EndpointId endpoint = sending.start().endpoint();
@@ -149,6 +147,14 @@
         }
     }
 
+    private static void reportNotConnected(Sending sending, Throwable failure) {
+        boolean isPathAtFault =
+                sending.proxy().isPresent()
+                        && PeerPaths.outcomeOf(failure) == PathProbed.Outcome.PEER_FAILED;
+        sending.call()
+                .connectionFailed(failure, isPathAtFault ? Cause.PATH_FAILED : Cause.NOT_CONNECTED);
+    }
+
     private EndpointCall newCall(
             RouterOutput.StartAttempt start, CallerExchange exchange, RequestSpec spec) {
         Consumer<RouterInput> messages = message -> forward(start.attempt(), message);
@@ -165,6 +171,7 @@
                 start.attempt(),
                 start.endpoint(),
                 exchange,
+                start.via().isPresent(),
                 events,
                 readers,
                 bufferBudget,
@@ -212,7 +219,8 @@
         if (connections.isUnused(request.connection())) {
             sending.call()
                     .connectionFailed(
-                            new ConnectException("closed before the request was written"));
+                            new ConnectException("closed before the request was written"),
+                            Cause.NOT_CONNECTED);
         } else {
             connect(singleUseClient, exchange, sending);
         }
@@ -233,7 +241,7 @@
                     sending.entry().id(),
                     unwritable);
             request.reset();
-            sending.call().connectionFailed(unwritable);
+            sending.call().connectionFailed(unwritable, Cause.NOT_CONNECTED);
             return;
         }
         sending.call().send(request, use);
@@ -247,15 +255,15 @@
             RouterOutput.StartAttempt start,
             EndpointCall call,
             RequestSpec spec,
-            EndpointEntry entry) {}
+            EndpointEntry entry,
+            Optional<ProxyOptions> proxy) {}
 
     private void reportNotStarted(AttemptId attempt, String detail) {
-        inbox.accept(
-                new RouterInput.AttemptFailed(
-                        attempt,
-                        RunState.NOT_RUN,
-                        detail,
-                        RouterInput.AttemptFailed.Cause.NOT_CONNECTED));
+        reportNotStarted(attempt, detail, Cause.NOT_CONNECTED);
+    }
+
+    private void reportNotStarted(AttemptId attempt, String detail, Cause cause) {
+        inbox.accept(new RouterInput.AttemptFailed(attempt, RunState.NOT_RUN, detail, cause));
     }
 
     /** Returns true if the attempt has a call whose answer has not ended. */
@@ -289,49 +297,6 @@
         cancelAttempt(new RouterOutput.CancelAttempt(attempt));
     }
 
-    /** Opens a connection to an endpoint and closes it again, and reports the outcome. */
-    void probeEndpoint(RouterOutput.ProbeEndpoint probe) {
-        Optional<EndpointEntry> entry = registry.apply(probe.endpoint());
-        if (entry.isEmpty()) {
-            reportProbe(probe, Outcome.NOT_TRIED, "address unknown");
-            return;
-        }
-        try {
-            probe(probe, entry.get().address());
-        } catch (RuntimeException refused) {
-            LOG.warn("probe of {} not started, {}", probe.endpoint(), entry.get(), refused);
-            reportProbe(probe, Outcome.NOT_TRIED, "not started: " + refused.getMessage());
-        }
-    }
-
-    private void probe(RouterOutput.ProbeEndpoint probe, Address address) {
-        probeClient
-                .connect(address.port(), address.ip())
-                .onSuccess(
-                        socket -> {
-                            socket.close();
-                            reportProbe(probe, Outcome.CONNECTED, "connected");
-                        })
-                .onFailure(failure -> reportProbe(probe, outcomeOf(failure), failure.getMessage()));
-    }
-
-    private void reportProbe(RouterOutput.ProbeEndpoint probe, Outcome outcome, String detail) {
-        inbox.accept(new RouterInput.EndpointProbed(probe.endpoint(), outcome, detail));
-    }
-
-    /**
-     * Returns what a failed connection shows. Only a refused one shows that the endpoint has ended;
-     * behind a network partition, it times out. Other failures, such as a lack of file descriptors,
-     * are this process's own.
-     */
-    static Outcome outcomeOf(Throwable failure) {
-        if (failure instanceof ConnectTimeoutException
-                || failure instanceof NoRouteToHostException) {
-            return Outcome.UNREACHABLE;
-        }
-        return failure instanceof ConnectException ? Outcome.REFUSED : Outcome.NOT_TRIED;
-    }
-
     /** Pauses or resumes reading an answer. */
     void setPaused(RouterOutput.PauseAttempt pause) {
         Optional.ofNullable(calls.get(pause.attempt()))
@@ -356,12 +321,16 @@
         inbox.accept(message);
     }
 
-    private static RequestOptions requestOptions(CallerExchange exchange, EndpointEntry entry) {
-        return new RequestOptions()
-                .setHost(entry.address().ip())
-                .setPort(entry.address().port())
-                .setMethod(exchange.request().method())
-                .setURI(exchange.request().uri());
+    private static RequestOptions requestOptions(CallerExchange exchange, Sending sending) {
+        Address address = sending.entry().address();
+        RequestOptions options =
+                new RequestOptions()
+                        .setHost(address.ip())
+                        .setPort(address.port())
+                        .setMethod(exchange.request().method())
+                        .setURI(exchange.request().uri());
+        sending.proxy().ifPresent(options::setProxyOptions);
+        return options;
     }
 
     private EndpointRequestHead head(
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointRegistry.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointRegistry.java
@@ -14,6 +14,7 @@
 import org.bramleylatch.platform.EndpointEntry;
 import org.bramleylatch.platform.KeyedChange;
 import org.bramleylatch.platform.KeyedPage;
+import org.bramleylatch.wire.Address;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,6 +41,11 @@
         return Optional.ofNullable(announcedById.get(endpoint));
     }
 
+    /** Returns true if an endpoint is listed at the address. */
+    boolean isListed(Address address) {
+        return listedByKey.values().stream().anyMatch(entry -> entry.address().equals(address));
+    }
+
     /**
      * Applies a page of the endpoints' stream. A page that lists all keys withdraws every endpoint
      * that is missing from it.
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import org.bramleylatch.core.Dispatch;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
 import org.bramleylatch.core.Incarnation;
@@ -25,7 +24,6 @@
 import org.bramleylatch.edge.EventLoopEnd;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
-import org.bramleylatch.edge.KeeperMessageTranslation;
 import org.bramleylatch.edge.LedgerStream;
 import org.bramleylatch.edge.LoopLag;
 import org.bramleylatch.edge.MonotonicClock;
@@ -50,17 +48,18 @@
     private final PrometheusRegistry metricsRegistry = new PrometheusRegistry();
     private final Incarnation keeper;
     private final Incarnation router;
-    private final Dispatch<KeeperOutput, RouterInput> replyTranslation;
     private final TickLoop<RouterInput, RouterOutput, RouterWorld> routerLoop;
     private final TickLoop<KeeperInput, KeeperOutput, KeeperWorld> keeperLoop;
     private final CallerServer callerServer;
     private final EndpointClient endpointClient;
+    private final EndpointProber endpointProber;
     private final EndpointRegistry endpointRegistry;
     private final ConfigurationReceiver configurationReceiver;
     private final StoreClient store;
     private final LedgerStream ledgerStream;
     private final RouterConnections routerConnections;
     private final KeeperConnections keeperConnections;
+    private final PeerMessages peerMessages;
     private final PeerDirectory peerDirectory;
     private final ReportStore reportStore;
     private final LatestValueWriter<RouterOutput.ReportRollout> rolloutWriter;
@@ -81,33 +80,30 @@
         this.metrics = new RequestMetrics(metricsRegistry, "gateway");
         this.keeper = RandomIds.newIncarnation("keeper", boot.vm());
         this.router = RandomIds.newIncarnation("router", boot.vm());
-        this.replyTranslation = KeeperMessageTranslation.of(keeper);
         GatewayLoops loops = new GatewayLoops(vertx, context, clock, boot, settings);
         this.routerLoop = loops.router(router, this::handleRouterOutput);
         this.keeperLoop = loops.keeper(keeper, this::handleKeeperOutput);
         this.loopLag = new LoopLag(clock, lagMonitor());
         this.store = new StoreClient(vertx, boot.storeAddress(), clock);
-        this.configurationReceiver =
-                new ConfigurationReceiver(
-                        routerLoop::offer,
-                        keeperLoop::offer,
-                        () -> clock.millis() - loopLag.millis());
+        this.configurationReceiver = configurationReceiver();
         this.endpointRegistry =
                 new EndpointRegistry(
                         name -> configurationReceiver.latest().traitsOf(name), routerLoop::offer);
         this.configurationReceiver.onChange(endpointRegistry::announceAll);
         this.callerServer = callerServer();
         this.plannedStop = plannedStop();
-        this.endpointClient = endpointClient();
         this.ledgerStream =
                 new LedgerStream(
                         store, keeper, update -> keeperLoop.offer(new KeeperInput.FromLog(update)));
-        HybridLogicalClock hybridClock = new HybridLogicalClock(clock);
-        this.routerConnections =
-                new RouterConnections(vertx, keeper, hybridClock, keeperLoop::offer);
-        this.keeperConnections =
-                new KeeperConnections(vertx, router, hybridClock, routerLoop::offer);
+        HybridLogicalClock hlc = new HybridLogicalClock(clock);
+        this.routerConnections = new RouterConnections(vertx, keeper, hlc, keeperLoop::offer);
+        this.keeperConnections = new KeeperConnections(vertx, router, hlc, routerLoop::offer);
         this.peerDirectory = peerDirectory();
+        PeerPaths peerPaths = PeerPaths.onPort(boot.relayPort(), peerDirectory::find);
+        this.endpointClient = endpointClient(peerPaths);
+        this.endpointProber =
+                new EndpointProber(vertx, endpointRegistry::find, peerPaths, routerLoop::offer);
+        this.peerMessages = peerMessages();
         this.reportStore = new ReportStore(vertx, store, routerLoop::offer);
         this.rolloutWriter = rolloutWriter();
         this.routerHandlers = routerHandlers();
@@ -118,6 +114,11 @@
         return new LagMonitor(metricsRegistry, routerLoop.world(), this::recordEvent);
     }
 
+    private ConfigurationReceiver configurationReceiver() {
+        return new ConfigurationReceiver(
+                routerLoop::offer, keeperLoop::offer, () -> clock.millis() - loopLag.millis());
+    }
+
     private CallerServer callerServer() {
         Counter brokenRequests =
                 Counter.builder()
@@ -156,10 +157,21 @@
                 new StopLog(routerLoop.world(), callerServer, this::recordEvent));
     }
 
-    private EndpointClient endpointClient() {
+    private PeerMessages peerMessages() {
+        return new PeerMessages(
+                router,
+                keeper,
+                routerLoop::offer,
+                keeperLoop::offer,
+                routerConnections,
+                keeperConnections);
+    }
+
+    private EndpointClient endpointClient(PeerPaths peerPaths) {
         return new EndpointClient(
                 vertx,
                 clock,
+                peerPaths,
                 endpointRegistry::find,
                 callerServer::findExchange,
                 id -> routerLoop.world().requests().find(id).map(RequestRow::spec),
@@ -168,6 +180,13 @@
                 this::recordEvent);
     }
 
+    private PeerRelay peerRelay() {
+        return new PeerRelay(
+                vertx,
+                endpointRegistry::isListed,
+                () -> !isStopping() && !routerLoop.world().isCutOff(clock.millis()));
+    }
+
     private LatestValueWriter<RouterOutput.ReportRollout> rolloutWriter() {
         return new LatestValueWriter<>(
                 vertx, (key, report) -> store.putRolloutState(report.order(), report.state()));
@@ -292,6 +311,7 @@
                         routerLoop::offer,
                         metricsRegistry)
                 .start();
+        boot.relayAddress().ifPresent(peerRelay()::start);
         servers.listen(boot, callerServer, routerConnections, this::isReady)
                 .whenComplete((done, failure) -> completeStart(started, failure));
     }
@@ -330,28 +350,12 @@
 
     private void handleKeeperOutput(KeeperOutput output) {
         if (output instanceof KeeperOutput.ToRouter reply) {
-            sendToRouter(reply);
+            peerMessages.sendToRouter(reply);
         } else {
             keeperHandlers.accept(output);
         }
     }
 
-    private void sendToRouter(KeeperOutput.ToRouter reply) {
-        if (reply.router().equals(router)) {
-            routerLoop.offer(replyTranslation.apply(reply));
-        } else {
-            routerConnections.send(reply);
-        }
-    }
-
-    private void sendToKeeper(RouterOutput.ToKeeper output) {
-        if (output.keeper().equals(keeper)) {
-            keeperLoop.offer(output.message());
-        } else {
-            keeperConnections.send(output);
-        }
-    }
-
     /**
      * Reports the maximum usage for a request whose router was lost, so that its reservation is
      * billed in full: endpoints of this platform can't report what a request used.
@@ -363,11 +367,12 @@
 
     private MessageHandlers<RouterOutput> routerHandlers() {
         return MessageHandlers.<RouterOutput>empty()
-                .on(RouterOutput.ToKeeper.class, this::sendToKeeper)
+                .on(RouterOutput.ToKeeper.class, peerMessages::sendToKeeper)
                 .on(RouterOutput.StartAttempt.class, endpointClient::startAttempt)
                 .on(RouterOutput.CancelAttempt.class, endpointClient::cancelAttempt)
                 .on(RouterOutput.PauseAttempt.class, endpointClient::setPaused)
-                .on(RouterOutput.ProbeEndpoint.class, endpointClient::probeEndpoint)
+                .on(RouterOutput.ProbeEndpoint.class, endpointProber::probe)
+                .on(RouterOutput.ProbePath.class, endpointProber::probePath)
                 .on(
                         RouterOutput.ReportRollout.class,
                         report ->
--- a/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PeerDirectory.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.bramleylatch.core.HolderSelection;
 import org.bramleylatch.core.KeeperInput;
@@ -101,6 +102,11 @@
         return page.listsAllKeys() && !(page.contains(vm) && self.equals(peers.get(vm)));
     }
 
+    /** Returns the address on which a peer accepts connections; empty if it is unknown. */
+    Optional<Address> find(String vm) {
+        return Optional.ofNullable(peers.get(vm)).map(PeerEntry::address);
+    }
+
     private void addPeer(KeyedChange change) {
         change.value()
                 .flatMap(text -> PeerEntry.parse(change.key(), text))
--- a/gateway/src/main/java/org/bramleylatch/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/Rehearsal.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bramleylatch.core.Zone;
@@ -83,6 +84,7 @@
                 anyPort,
                 anyPort,
                 new Address(LOOPBACK, freePort()),
+                OptionalInt.empty(),
                 platform.storeAddress(),
                 LOG_RETENTION_MILLIS,
                 LIMITS);
--- a/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EndpointClientTest.java
@@ -45,6 +45,7 @@
             new EndpointClient(
                     vertx,
                     InstantSource.system(),
+                    new PeerPaths(vm -> Optional.empty()),
                     id -> Optional.of(entry()),
                     id -> Optional.ofNullable(exchange.get()),
                     id -> Optional.of(spec()),
@@ -94,7 +95,12 @@
     /** Guards against a probe that never reports, so that its endpoint is never judged. */
     @Test
     void aProbeThatTheClientRefusesToStartIsReportedAsNotRefusedByTheEndpoint() throws Exception {
-        client.probeEndpoint(new RouterOutput.ProbeEndpoint(ENDPOINT));
+        new EndpointProber(
+                        vertx,
+                        id -> Optional.of(entry()),
+                        new PeerPaths(vm -> Optional.empty()),
+                        inbox::add)
+                .probe(new RouterOutput.ProbeEndpoint(ENDPOINT));
         assertThat(inbox.poll(20, TimeUnit.SECONDS))
                 .isInstanceOfSatisfying(
                         RouterInput.EndpointProbed.class,
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -74,6 +75,7 @@
                         callers,
                         readiness,
                         peers,
+                        OptionalInt.empty(),
                         store.address(),
                         300_000,
                         new PlatformLimits(8_000, 200, 56, 10_000, 750));
--- a/gateway/src/test/java/org/bramleylatch/gateway/HandedOutConnectionTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/HandedOutConnectionTest.java
@@ -163,6 +163,7 @@
                 new EndpointClient(
                         vertx,
                         InstantSource.system(),
+                        new PeerPaths(vm -> Optional.empty()),
                         id -> Optional.of(entry(port)),
                         id -> {
                             beforeHandOut.run();
--- a/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/OrphanTest.java
@@ -182,6 +182,7 @@
         return new EndpointClient(
                 vertx,
                 InstantSource.system(),
+                new PeerPaths(vm -> Optional.empty()),
                 id -> Optional.of(entry),
                 callers::findExchange,
                 id -> Optional.of(spec),
--- a/gateway/src/test/java/org/bramleylatch/gateway/ProbeOutcomeTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/ProbeOutcomeTest.java
@@ -12,21 +12,21 @@
 class ProbeOutcomeTest {
     @Test
     void aRefusedConnectionShowsThatTheEndpointHasEnded() {
-        assertThat(EndpointClient.outcomeOf(new ConnectException("Connection refused")))
+        assertThat(EndpointProber.outcomeOf(new ConnectException("Connection refused")))
                 .isEqualTo(Outcome.REFUSED);
     }
 
     @Test
     void aConnectionThatTimesOutOrHasNoPathShowsThatTheEndpointIsUnreachable() {
-        assertThat(EndpointClient.outcomeOf(new ConnectTimeoutException("timed out")))
+        assertThat(EndpointProber.outcomeOf(new ConnectTimeoutException("timed out")))
                 .isEqualTo(Outcome.UNREACHABLE);
-        assertThat(EndpointClient.outcomeOf(new NoRouteToHostException("no route")))
+        assertThat(EndpointProber.outcomeOf(new NoRouteToHostException("no route")))
                 .isEqualTo(Outcome.UNREACHABLE);
     }
 
     @Test
     void aFailureOfThisProcessShowsNothingAboutTheEndpoint() {
-        assertThat(EndpointClient.outcomeOf(new SocketException("Too many open files")))
+        assertThat(EndpointProber.outcomeOf(new SocketException("Too many open files")))
                 .isEqualTo(Outcome.NOT_TRIED);
     }
 }
