Use a reservation that is granted after another keeper was asked

A router that is late by more than the timeout of 300 ms reads each holder's answer after it has asked the next one, gave the tokens back and waited for an answer that was late as well, until the caller left.

The first grant that is read is now used, unless its keeper is no longer connected; the other one is released when it comes.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -44,9 +44,10 @@
     }
 
     /**
-     * Stores the grant that tokens were reserved from and takes the request to its next stage. A
-     * reservation is released if the request has ended or another keeper has been asked since. A
-     * keeper that was asked twice answers twice for one reservation.
+     * Stores the grant that tokens were reserved from and takes the request to its next stage, also
+     * if another keeper has been asked since: an answer that is late is most often late because
+     * this VM is, and so would be the next one. A reservation is released if the request has ended
+     * or has another one. A keeper that was asked twice answers twice for one reservation.
      */
     boolean acceptGrant(ReserveGranted granted) {
         markAnswering(granted.keeper());
@@ -56,11 +57,7 @@
         }
         Optional<RequestRow> row =
                 request.filter(found -> found.stage() == Stage.RESERVING)
-                        .filter(
-                                found ->
-                                        found.keeper()
-                                                .filter(granted.keeper()::equals)
-                                                .isPresent());
+                        .filter(found -> world.keepers().contains(granted.keeper()));
         if (row.isEmpty()) {
             world.send(
                     new RouterOutput.ToKeeper(
@@ -69,7 +66,7 @@
             return false;
         }
         world.timers().clear(new RouterTimer.ReserveTimeout(row.get().spec().id()));
-        advance(row.get().withGrant(granted.grant()));
+        advance(row.get().withKeeper(granted.keeper()).withGrant(granted.grant()));
         return true;
     }
 
