Take a status over 599 for no answer

Of ten such statuses, 000, 099, 20, -20, abc, 101 and 199 already ended the attempt, and the caller got 502; 600, 999 and 2000 reached the caller as the server's answer (StatusTest, three of ten cases failed before).

The other case of MIXED, a 200 without a length to a long upload, reset while the upload is still written, does not happen here: AnswerDuringUploadTest passes without a change, with a reset and with a close that leaves the upload unread.

--- a/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerEvidence.java
@@ -29,6 +29,7 @@
     private static final int MAX_LOGGED_ID_LENGTH = 64;
     private static final int OK = 200;
     private static final int FIRST_REDIRECT = 300;
+    private static final int LAST_STATUS = 599;
 
     /** Decides what the answer means for the request with the given id. */
     public AnswerVerdict judge(String requestId) {
@@ -38,7 +39,7 @@
         if (reportsNotRun) {
             return AnswerVerdict.REFUSAL;
         }
-        return isInterim() || NOT_RUN_STATUSES.contains(status)
+        return !isFinal() || NOT_RUN_STATUSES.contains(status)
                 ? AnswerVerdict.UNPROVEN
                 : AnswerVerdict.ANSWER;
     }
@@ -74,8 +75,9 @@
         return id.substring(0, Math.min(id.length(), MAX_LOGGED_ID_LENGTH));
     }
 
-    private boolean isInterim() {
-        return status < OK;
+    /** Returns false for an interim status, and for a number that is no status (RFC 9110, 15). */
+    private boolean isFinal() {
+        return status >= OK && status <= LAST_STATUS;
     }
 
     private boolean isSuccess() {
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -193,6 +193,10 @@
         return send(options("/chat/1", "secret").putHeader("prompt-prefix", parts));
     }
 
+    Answer callWithBody(String path, Buffer body) throws Exception {
+        return send(options(path, "secret"), body);
+    }
+
     private RequestOptions options(String path, String key) {
         return new RequestOptions()
                 .setHost(LOOPBACK)
@@ -216,10 +220,14 @@
     }
 
     private Answer send(RequestOptions options) throws Exception {
+        return send(options, Buffer.buffer("body"));
+    }
+
+    private Answer send(RequestOptions options, Buffer body) throws Exception {
         HttpClient client = vertx.createHttpClient();
         callerClients.add(client);
         return client.request(options)
-                .compose(request -> request.send(Buffer.buffer("body")).compose(Answer::read))
+                .compose(request -> request.send(body).compose(Answer::read))
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
