Pause a brittle endpoint after a refusal until all other routers may have had one

After a refusal a router now sends nothing there for routers / N seconds, so that all routers together stay below N.

--- a/core/src/main/java/org/bramleylatch/core/EndpointSignals.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointSignals.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.bramleylatch.core.RouterInput.BrittleRefusal;
 import org.bramleylatch.core.RouterInput.EndpointLeaving;
 import org.bramleylatch.core.RouterInput.EndpointPaused;
 
@@ -12,6 +13,8 @@
     /** Bounds what a faulty endpoint can name; no maintenance takes longer. */
     private static final long MAX_PAUSE_MILLIS = 60 * 60 * 1_000L;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** Marks an endpoint as leaving; it gets no new request until it is started anew. */
     boolean applyLeaving(EndpointLeaving leaving) {
         Optional<EndpointRow> row =
@@ -48,6 +51,16 @@
         return isLonger;
     }
 
+    /**
+     * Sends an endpoint that refused no request for as long as the others of the fleet need for one
+     * refusal each, so that all together stay below the rate at which the endpoint falls over.
+     */
+    boolean applyBrittleRefusal(BrittleRefusal refusal) {
+        double millis = world.routerCount() * MILLIS_PER_SECOND / refusal.refusalsPerSecond();
+        return applyPause(
+                new EndpointPaused(refusal.endpoint(), (long) Math.min(millis, MAX_PAUSE_MILLIS)));
+    }
+
     /** Returns true while the endpoint wants no requests. */
     boolean isPaused(EndpointId endpoint) {
         return world.endpointPauses().find(endpoint).filter(until -> nowMillis < until).isPresent();
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -2,6 +2,7 @@
 
 import org.bramleylatch.core.RouterInput.AnswerEnded;
 import org.bramleylatch.core.RouterInput.AttemptFailed;
+import org.bramleylatch.core.RouterInput.BrittleRefusal;
 import org.bramleylatch.core.RouterInput.CallArrived;
 import org.bramleylatch.core.RouterInput.CallerDisconnected;
 import org.bramleylatch.core.RouterInput.CallerPaused;
@@ -131,6 +132,7 @@
                 .on(PathProbed.class, (tick, m) -> tick.silences().applyPathProbe(m))
                 .on(EndpointLeaving.class, (tick, m) -> tick.signals().applyLeaving(m))
                 .on(EndpointPaused.class, (tick, m) -> tick.signals().applyPause(m))
+                .on(BrittleRefusal.class, (tick, m) -> tick.signals().applyBrittleRefusal(m))
                 .on(RateLimitObserved.class, (tick, m) -> tick.rateLimits().applyObservation(m));
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -207,6 +207,13 @@
     /** Reports that an endpoint refused a request and wants no others for the given time. */
     record EndpointPaused(EndpointId endpoint, long pauseMillis) implements RouterInput {}
 
+    /**
+     * Reports that an endpoint refused a request for lack of room, and that it is brittle.
+     *
+     * @param refusalsPerSecond what it bears from all routers together
+     */
+    record BrittleRefusal(EndpointId endpoint, double refusalsPerSecond) implements RouterInput {}
+
     /** Carries an operator's order; one that is older than a known one is ignored. */
     record RolloutOrdered(RolloutOrder order) implements RouterInput {}
 
--- a/core/src/test/java/org/bramleylatch/core/EndpointSignalsTest.java
+++ b/core/src/test/java/org/bramleylatch/core/EndpointSignalsTest.java
@@ -74,6 +74,31 @@
         assertThat(startedAt()).containsExactly(FIRST);
     }
 
+    /**
+     * Guards against endpoints that fall over as all VMs together have too many requests refused.
+     */
+    @Test
+    void aBrittleEndpointThatRefusedGetsNothingWhileTheOtherRoutersUseItsRefusals() {
+        router.receive(new RouterInput.RoutersCounted(8));
+        router.receive(new RouterInput.BrittleRefusal(FIRST, 2));
+        router.advance(3_999);
+        startRequests(6);
+        assertThat(startedAt()).containsOnly(SECOND);
+        router.advance(1);
+        router.receive(new RouterInput.EndpointWithdrawn(SECOND));
+        startRequests(1);
+        assertThat(startedAt()).contains(FIRST);
+    }
+
+    @Test
+    void aBrittleEndpointThatBearsNoRefusalIsPausedForABoundedTime() {
+        router.receive(new RouterInput.BrittleRefusal(FIRST, 0));
+        router.receive(new RouterInput.EndpointWithdrawn(SECOND));
+        router.advance(60 * 60 * 1_000L);
+        startRequests(1);
+        assertThat(startedAt()).containsExactly(FIRST);
+    }
+
     private void startRequests(int count) {
         for (int index = 0; index < count; index++) {
             RequestKey key = router.arrive(RouterHarness.CHAT, 100, 50);
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -230,6 +230,10 @@
         closeConnection();
         if (head.isMisdirected()) {
             inbox.accept(new RouterInput.EndpointReplaced(endpoint));
+        } else {
+            head.refusalsPerSecondLimit()
+                    .ifPresent(
+                            limit -> inbox.accept(new RouterInput.BrittleRefusal(endpoint, limit)));
         }
         fail(RunState.NOT_RUN, "refused the request: " + evidence.describe());
     }
--- a/gateway/src/test/java/org/bramleylatch/gateway/EndpointHeaderTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EndpointHeaderTest.java
@@ -45,6 +45,22 @@
         assertThat(harness.call("/orders/2").status()).isEqualTo(200);
     }
 
+    /** Guards against an endpoint that falls over as it has to refuse too many requests. */
+    @Test
+    void aBrittleEndpointThatRefusesGetsNoRequestForAWhile() throws Exception {
+        answerFirst("503 Service Unavailable", "not-executed: 1\r\nserver-brittle: 0.05\r\n");
+        harness.call("/orders/1");
+        assertThat(harness.call("/orders/2").status()).isEqualTo(503);
+        assertThat(requests.get()).isEqualTo(1);
+    }
+
+    @Test
+    void aBrittleEndpointThatAnswersGetsFurtherRequests() throws Exception {
+        answerFirst("200 OK", "server-brittle: 0.05\r\n");
+        assertThat(harness.call("/orders/1").status()).isEqualTo(200);
+        assertThat(harness.call("/orders/2").status()).isEqualTo(200);
+    }
+
     @Test
     void aFailureFromALeavingEndpointCountsAsWell() throws Exception {
         answerFirst("500 Internal Server Error", "server-leaving: 1\r\n");
