Bound how long a relay keeps a connection on which nothing moves

A peer that lost power, or its path to the relay, leaves its connection and that to the endpoint open; 256 of them would have ended the relay.

--- a/gateway/src/main/java/org/bramleylatch/gateway/PeerRelay.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PeerRelay.java
@@ -32,6 +32,12 @@
     /** Leaves most of a VM's memory and descriptors to its own callers. */
     private static final int MAX_CONNECTIONS = 256;
 
+    /**
+     * Ends connections of a peer that lost power or its path to here. Longer than an answer is
+     * silent that its caller still waits for.
+     */
+    private static final int IDLE_SECONDS = 120;
+
     private static final int WRITE_QUEUE_BYTES = 16 * 1024;
 
     private final Vertx vertx;
@@ -64,6 +70,7 @@
                         new NetServerOptions()
                                 .setHost(address.ip())
                                 .setPort(address.port())
+                                .setIdleTimeout(IDLE_SECONDS)
                                 .setTcpNoDelay(true))
                 .connectHandler(this::accept)
                 .listen()
