Take a VM for cut off only by links that went down since its last direct connection

A VM that had lost some endpoints and reached the others counted each failed probe of a link that was down as a new loss, so that it sent all attempts through peers again and again. The time of the first failure counts now, not that of the last one; EndpointPathsTest has a case that failed before.

--- a/core/src/main/java/org/bramleylatch/core/EndpointPaths.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointPaths.java
@@ -54,14 +54,11 @@
     /** Returns true if several direct paths went down since the last direct connection. */
     boolean isCutOff() {
         return paths().links().size() >= CUT_OFF_LINKS
-                && paths().links()
-                                .where(
-                                        row ->
-                                                row.isDown()
-                                                        && row.failedMillis()
-                                                                > paths().directContactMillis())
-                                .size()
-                        >= CUT_OFF_LINKS;
+                && paths().links().where(this::wentDownSinceContact).size() >= CUT_OFF_LINKS;
+    }
+
+    private boolean wentDownSinceContact(LinkRow link) {
+        return link.isDown() && link.sinceMillis() > paths().directContactMillis();
     }
 
     /** Suspects the direct path to an endpoint, and asks peers whether they reach the endpoint. */
--- a/core/src/main/java/org/bramleylatch/core/LinkRow.java
+++ b/core/src/main/java/org/bramleylatch/core/LinkRow.java
@@ -4,29 +4,35 @@
  * Tracks the direct path from this VM to an endpoint after a connection over it could not be
  * established.
  *
+ * @param sinceMillis when a direct connection failed for the first time
  * @param failedMillis when a direct connection failed last
  * @param askedMillis when peers were asked last whether they reach the endpoint; 0 if never
  * @param isDown true once a peer has reached the endpoint, so that the path is at fault
  */
-record LinkRow(EndpointId endpoint, long failedMillis, long askedMillis, boolean isDown) {
+record LinkRow(
+        EndpointId endpoint,
+        long sinceMillis,
+        long failedMillis,
+        long askedMillis,
+        boolean isDown) {
 
     /** Returns the link of an endpoint after its first failed connection. */
     static LinkRow suspected(EndpointId endpoint, long nowMillis) {
-        return new LinkRow(endpoint, nowMillis, 0, false);
+        return new LinkRow(endpoint, nowMillis, nowMillis, 0, false);
     }
 
     /** Returns the link after another direct connection failed. */
     LinkRow failedAgain(long nowMillis) {
-        return new LinkRow(endpoint, nowMillis, askedMillis, isDown);
+        return new LinkRow(endpoint, sinceMillis, nowMillis, askedMillis, isDown);
     }
 
     /** Returns the link after peers were asked. */
     LinkRow asked(long nowMillis) {
-        return new LinkRow(endpoint, failedMillis, nowMillis, isDown);
+        return new LinkRow(endpoint, sinceMillis, failedMillis, nowMillis, isDown);
     }
 
     /** Returns the link after a peer reached the endpoint. */
     LinkRow down() {
-        return new LinkRow(endpoint, failedMillis, askedMillis, true);
+        return new LinkRow(endpoint, sinceMillis, failedMillis, askedMillis, true);
     }
 }
--- a/core/src/test/java/org/bramleylatch/core/EndpointPathsTest.java
+++ b/core/src/test/java/org/bramleylatch/core/EndpointPathsTest.java
@@ -118,6 +118,20 @@
         }
     }
 
+    /** Guards against a VM that lost one zone's endpoints and reaches the others through peers. */
+    @Test
+    void aVmThatReachesSomeEndpointsIsNotCutOffWhenTheOthersFailAgain() {
+        cutOff(2);
+        List<EndpointId> known = router.world.endpoints().keys().sorted().toList();
+        router.advance(EndpointPaths.CHECK_INTERVAL_MILLIS);
+        probeDirectly(known.get(4), EndpointProbed.Outcome.CONNECTED);
+        router.advance(EndpointPaths.CHECK_INTERVAL_MILLIS);
+        known.subList(0, 2)
+                .forEach(endpoint -> probeDirectly(endpoint, EndpointProbed.Outcome.REFUSED));
+        assertThat(router.world.isCutOff(router.nowMillis())).isFalse();
+        assertThat(router.world.paths().links().rows()).filteredOn(LinkRow::isDown).hasSize(2);
+    }
+
     @Test
     void aPeerThatFailsIsNotUsedAndTheRequestGoesOn() {
         cutOff(2);
