--- a/gateway/src/test/java/org/bramleylatch/gateway/PeerRelayTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/PeerRelayTest.java
@@ -5,12 +5,16 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientConnection;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -31,7 +35,7 @@
     private final Vertx vertx = Vertx.vertx();
     private final AtomicBoolean available = new AtomicBoolean(true);
     private final BlockingQueue<HttpServerRequest> received = new LinkedBlockingQueue<>();
-    private final HttpClient client = vertx.createHttpClient();
+    private final HttpClientAgent client = vertx.createHttpClient();
     private Address endpoint;
     private Address relay;
     private HttpServer server;
@@ -67,9 +71,24 @@
 
     @Test
     void aConnectionCarriesSeveralRequests() throws Exception {
-        await(send(endpoint, "/echo", Buffer.buffer("one")));
-        await(send(endpoint, "/echo", Buffer.buffer("two")));
-        assertThat(received.remove().connection()).isSameAs(received.remove().connection());
+        RequestOptions options = options(endpoint, "/echo");
+        HttpClientConnection connection =
+                await(
+                        client.connect(
+                                new HttpConnectOptions()
+                                        .setHost(endpoint.ip())
+                                        .setPort(endpoint.port())
+                                        .setProxyOptions(options.getProxyOptions())));
+        for (String body : List.of("one", "two", "three")) {
+            Buffer answer =
+                    await(
+                            connection
+                                    .request(options)
+                                    .compose(request -> request.send(Buffer.buffer(body)))
+                                    .compose(HttpClientResponse::body));
+            assertThat(answer.toString()).isEqualTo(body);
+        }
+        assertThat(received.stream().map(HttpServerRequest::connection).distinct()).hasSize(1);
     }
 
     /** Guards against a relay that lets others of the network reach any address. */
