Take the close of a connection during an upload for a loss, not for the end of an answer

The runtime closes a connection on which it can't write, and hands the close over as the end of an answer that has no other end, before the reset is read. An end by the close alone now counts only once the whole request is written.

--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointCall.java
@@ -49,6 +49,7 @@
     private Optional<AnswerReader> reader = Optional.empty();
     private int interimAnswers;
     private long bufferedBytes;
+    private boolean requestWritten;
     private boolean finished;
 
     /**
@@ -100,7 +101,7 @@
                 .response()
                 .onSuccess(answer -> guard(() -> receiveHead(answer, use)))
                 .onFailure(failure -> loseConnection("no answer: " + failure));
-        guard(() -> exchange.sendBodyTo(newRequest));
+        guard(() -> exchange.sendBodyTo(newRequest).onSuccess(written -> requestWritten = true));
     }
 
     /** Fails the attempt if a step throws, since the runtime's future only logs that. */
@@ -114,11 +115,7 @@
         }
     }
 
-    /**
-     * Reports that no connection could be opened; the request certainly did not run.
-     *
-     * @param cause whether the endpoint or the path to it failed
-     */
+    /** Reports that no connection could be opened, and why; the request did not run. */
     void connectionFailed(Throwable failure, Cause cause) {
         if (!finished) {
             finished = true;
@@ -182,6 +179,7 @@
             ConnectionUse use,
             AnswerVerdict verdict) {
         unansweredUse = Optional.empty();
+        String signature = head.signatureDigest().orElse("none");
         note(
                 EventKind.ATTEMPT_ANSWERED,
                 "connection="
@@ -189,17 +187,11 @@
                         + " "
                         + evidence.describe()
                         + " signature="
-                        + head.signatureDigest().orElse("none")
+                        + signature
                         + " verdict="
                         + verdict);
     }
 
-    private void noteUnanswered(ConnectionUse use) {
-        note(
-                EventKind.ATTEMPT_UNANSWERED,
-                "connection=" + use.connection() + " connectionUses=" + use.uses());
-    }
-
     private void note(EventKind kind, String detail) {
         timeline.accept(Event.of(kind, attempt, "endpoint=" + endpoint + " " + detail));
     }
@@ -330,15 +322,16 @@
     }
 
     /**
-     * Takes the end of a connection that a peer carries for its loss, as a peer that ends closes it
-     * in the same way as an endpoint at the end of its answer.
+     * Takes the end of a connection for its loss where it does not prove the end of the answer: a
+     * peer that ends closes the connections that it carries, and the runtime closes one on which
+     * the rest of the request can't be written any more, such as after a reset.
      *
      * @return true if the end was taken for a loss
      */
     private boolean loseUnprovenEnd(boolean endsWithConnection) {
-        boolean isUnproven = isRelayed && endsWithConnection;
+        boolean isUnproven = endsWithConnection && (isRelayed || !requestWritten);
         if (isUnproven) {
-            loseConnection("connection through a peer closed, the answer has no other end");
+            loseConnection("closed, relayed=" + isRelayed + " requestWritten=" + requestWritten);
         }
         return isUnproven;
     }
@@ -392,7 +385,14 @@
 
     private void finish() {
         finished = true;
-        unansweredUse.ifPresent(this::noteUnanswered);
+        unansweredUse.ifPresent(
+                use ->
+                        note(
+                                EventKind.ATTEMPT_UNANSWERED,
+                                "connection="
+                                        + use.connection()
+                                        + " connectionUses="
+                                        + use.uses()));
         unansweredUse = Optional.empty();
         bufferBudget.giveBack(bufferedBytes);
         bufferedBytes = 0;
--- a/gateway/src/test/java/org/bramleylatch/gateway/AnswerDuringUploadTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/AnswerDuringUploadTest.java
@@ -15,7 +15,7 @@
  */
 class AnswerDuringUploadTest {
     /** More than the buffers of a connection hold, so that the endpoint's silence holds it up. */
-    private static final Buffer LONG_BODY = Buffer.buffer(new byte[3 * 1024 * 1024]);
+    private static final Buffer LONG_BODY = Buffer.buffer(new byte[24 * 1024 * 1024]);
 
     private static final String HEAD =
             "HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nserver-seal: seal-1\r\n";
@@ -49,9 +49,32 @@
         assertThat(answerTo(HEAD + "\r\n" + PART, false).status()).isEqualTo(502);
     }
 
+    /** A reset that follows is not read any more once the endpoint's side is closed. */
+    @Test
+    void aPartWithoutLengthIsNotCompleteWhereTheEndpointClosesItsSideDuringTheUpload()
+            throws Exception {
+        harness.addRawEndpoint(
+                "app",
+                "i-1",
+                socket -> {
+                    RawEndpoint.write(socket, HEAD + "\r\n" + PART);
+                    socket.shutdownOutput();
+                    Thread.sleep(1_000);
+                });
+        harness.configureForLongBodiesAndAwaitReady();
+        assertThat(harness.callWithBody("/orders/1", LONG_BODY).status()).isEqualTo(502);
+    }
+
+    @Test
+    void anAnswerWithoutLengthIsCompleteOnceItsUploadIsWritten() throws Exception {
+        harness.addRawEndpoint("app", "i-1", socket -> RawEndpoint.write(socket, HEAD + "\r\nall"));
+        harness.configureAndAwaitReady();
+        assertThat(harness.call("/orders/1").body()).isEqualTo("all");
+    }
+
     private GatewayHarness.Answer answerTo(String answer, boolean reset) throws Exception {
         harness.addRawEndpoint("app", "i-1", socket -> writePart(socket, answer, reset));
-        harness.configureAndAwaitReady();
+        harness.configureForLongBodiesAndAwaitReady();
         return harness.callWithBody("/orders/1", LONG_BODY);
     }
 
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -126,6 +126,14 @@
         }
     }
 
+    /** Configures the gateway so that it takes bodies which exceed the buffers of a connection. */
+    void configureForLongBodiesAndAwaitReady() throws Exception {
+        configureAndAwaitReady(
+                CONFIG.replace(
+                        "\"version\": 1,",
+                        "\"version\": 1, \"limits\": {\"maxBodyBytes\": 67108864},"));
+    }
+
     /** Sends a request that is refused once an endpoint is known, and before as there is none. */
     private Answer callBeyondAnyMemory() throws Exception {
         return send(options("/chat/1", "secret").putHeader("token-counts", "100000,100000"));
