Try a sound endpoint through another peer after the peer on the way failed

Cause: an attempt whose peer could not be used counted its endpoint as failed for the request, so that a request to the only endpoint of a service was refused although other peers reach it: the path was taken for the endpoint. Found while reading the diff; no caller was seen to be hit. Ruled out: an endless loop, as each failure makes its peer unusable and the request has its deadline.

Change: such an attempt leaves the endpoint among the candidates and does not count. Before: EndpointPathsTest.theOnlyEndpointOfAServiceIsTriedThroughAnotherPeer failed; after: core's 442 tests pass.

--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -314,7 +314,10 @@
     private void retryOrRefuse(RequestRow row, EndpointId endpoint, AttemptFailed failed) {
         RunState runState = combineRunStates(row, failed.runState());
         RequestRow after =
-                row.attemptFailed(endpoint, runState, failed.runState() != RunState.NOT_RUN);
+                failed.cause() == AttemptFailed.Cause.PATH_FAILED
+                        ? row.attemptNotSent(runState)
+                        : row.attemptFailed(
+                                endpoint, runState, failed.runState() != RunState.NOT_RUN);
         if (Retries.allows(world, limits, after, failed.connected(), nowMillis)) {
             if (failed.connected()) {
                 Retries.countRetry(world, after.spec(), limits, nowMillis);
--- a/core/src/main/java/org/bramleylatch/core/EndpointPaths.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointPaths.java
@@ -89,7 +89,7 @@
                 });
     }
 
-    /** Applies what a peer said of an endpoint, and gives up silent attempts that went that way. */
+    /** Applies what a peer said of an endpoint; returns true if the peer reached it. */
     boolean applyProbe(PathProbed probed) {
         boolean connected = probed.outcome() == PathProbed.Outcome.CONNECTED;
         if (connected) {
--- a/core/src/main/java/org/bramleylatch/core/RequestRow.java
+++ b/core/src/main/java/org/bramleylatch/core/RequestRow.java
@@ -217,6 +217,21 @@
                 waitingSinceMillis);
     }
 
+    /**
+     * Returns the request after the path of its attempt failed, which says nothing of the endpoint
+     * and does not count against the limit.
+     */
+    RequestRow attemptNotSent(RunState newRunState) {
+        return with(
+                stage,
+                keeper,
+                grant,
+                Optional.empty(),
+                attemptCount - 1,
+                deliveredTokens,
+                newRunState);
+    }
+
     private RequestRow with(
             Stage newStage,
             Optional<Incarnation> newKeeper,
--- a/core/src/test/java/org/bramleylatch/core/EndpointPathsTest.java
+++ b/core/src/test/java/org/bramleylatch/core/EndpointPathsTest.java
@@ -144,6 +144,19 @@
                 .isEqualTo(EndpointHealth.healthy());
     }
 
+    /** Guards against a sound endpoint that is given up as the peer on the way to it is gone. */
+    @Test
+    void theOnlyEndpointOfAServiceIsTriedThroughAnotherPeer() {
+        router.endpoints("ordnerei-1", "seilhelfer-1");
+        cutOff(2);
+        StartAttempt first = request();
+        fail(first, AttemptFailed.Cause.PATH_FAILED);
+        StartAttempt second = router.lastOutput(StartAttempt.class).orElseThrow();
+        assertThat(second.attempt()).isNotEqualTo(first.attempt());
+        assertThat(second.endpoint()).isEqualTo(first.endpoint());
+        assertThat(second.via()).isPresent().isNotEqualTo(first.via());
+    }
+
     /** Guards against taking the silence of a sound endpoint for its death during a cut. */
     @Test
     void aDirectProbeSaysNothingOfAnAttemptThroughAPeer() {
