Count the bytes that a VM moves over its link, by use

The runtime now reports bytes of callers, endpoints, the store and peers; each second with more than 64 KiB is a line (LINK_USED), and all of them are in bramleylatch_gateway_link_bytes_total.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -92,6 +92,8 @@
     SNAPSHOT_TAKEN,
     SNAPSHOT_LOADED,
     CONFIGURATION_APPLIED,
+    /** How many bytes a VM moved over its link in a second, by use. */
+    LINK_USED,
     /** A router gets no answers from the endpoint registry. */
     REGISTRY_AWAY,
     /** A router gets answers from the endpoint registry again. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -347,6 +347,7 @@
 
     private static HttpClientOptions clientOptions() {
         return new HttpClientOptions()
+                .setMetricsName("endpoints")
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                 .setReceiveBufferSize(RECEIVE_BUFFER_BYTES)
                 .setTcpNoDelay(true);
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointProber.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointProber.java
@@ -52,7 +52,9 @@
         this.inbox = inbox;
         this.probeClient =
                 vertx.createNetClient(
-                        new NetClientOptions().setConnectTimeout(PROBE_TIMEOUT_MILLIS));
+                        new NetClientOptions()
+                                .setMetricsName("probes")
+                                .setConnectTimeout(PROBE_TIMEOUT_MILLIS));
     }
 
     /** Opens a connection to an endpoint and closes it again, and reports the outcome. */
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -25,6 +25,7 @@
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
 import org.bramleylatch.edge.LedgerStream;
+import org.bramleylatch.edge.LinkMeter;
 import org.bramleylatch.edge.LoopLag;
 import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.edge.RandomIds;
@@ -38,6 +39,7 @@
 /** Runs a router and a keeper in one process, both on the same event loop. */
 public final class GatewayDaemon {
     private final Vertx vertx;
+    private final LinkMeter linkMeter;
     private final Context context;
     private final MonotonicClock clock;
     private final BootFile boot;
@@ -69,8 +71,13 @@
     private final GatewayServers servers;
 
     private GatewayDaemon(
-            Vertx vertx, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
+            Vertx vertx,
+            LinkMeter linkMeter,
+            MonotonicClock clock,
+            BootFile boot,
+            GatewaySettings settings) {
         this.vertx = vertx;
+        this.linkMeter = linkMeter;
         this.context = vertx.getOrCreateContext();
         this.clock = clock;
         this.boot = boot;
@@ -110,6 +117,11 @@
         this.keeperHandlers = keeperHandlers();
     }
 
+    /** Names what the connections that are accepted on a port are used for. */
+    private static String linkUse(BootFile boot, int port) {
+        return port == boot.callerAddress().port() ? "callers" : "peers";
+    }
+
     private LagMonitor lagMonitor() {
         return new LagMonitor(metricsRegistry, routerLoop.world(), this::recordEvent);
     }
@@ -212,13 +224,15 @@
      */
     public static CompletableFuture<GatewayDaemon> start(
             MonotonicClock clock, BootFile boot, GatewaySettings settings) {
+        LinkMeter linkMeter = new LinkMeter(port -> linkUse(boot, port));
+        VertxOptions options =
+                new VertxOptions()
+                        .setEventLoopPoolSize(1)
+                        .setWorkerPoolSize(1)
+                        .setInternalBlockingPoolSize(1);
         Vertx vertx =
-                Vertx.vertx(
-                        new VertxOptions()
-                                .setEventLoopPoolSize(1)
-                                .setWorkerPoolSize(1)
-                                .setInternalBlockingPoolSize(1));
-        GatewayDaemon daemon = new GatewayDaemon(vertx, clock, boot, settings);
+                Vertx.builder().with(LinkMeter.reportTo(options)).withMetrics(linkMeter).build();
+        GatewayDaemon daemon = new GatewayDaemon(vertx, linkMeter, clock, boot, settings);
         CompletableFuture<GatewayDaemon> started = new CompletableFuture<>();
         daemon.context.runOnContext(ignored -> daemon.startOnContext(started));
         return started;
@@ -287,6 +301,8 @@
     private void startOnContext(CompletableFuture<GatewayDaemon> started) {
         Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
         loopLag.start(vertx);
+        new LinkMonitor(metricsRegistry, clock, boot.vm(), linkMeter::uses, this::recordEvent)
+                .start(vertx);
         callerServer.start(vertx);
         recordEvent(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
         routerLoop.offer(new RouterInput.LocalKeeperUp(keeper));
--- a/gateway/src/main/java/org/bramleylatch/gateway/PeerRelay.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PeerRelay.java
@@ -60,6 +60,7 @@
         this.client =
                 vertx.createNetClient(
                         new NetClientOptions()
+                                .setMetricsName("relay")
                                 .setConnectTimeout(EndpointClient.CONNECT_TIMEOUT_MILLIS)
                                 .setTcpNoDelay(true));
     }
