Let a VM that can't keep up leave the rotation, and refuse before it reads bodies

The platform sends all connections of a caller to one VM by a hash and moves new ones only while that VM is not ready; the VM always was. It took on all that came, with a loop that was late by 250 to 810 ms and a link that was full.

Open connections stay, so that a workspace's connections spread over as many VMs as they need.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -94,6 +94,10 @@
     CONFIGURATION_APPLIED,
     /** How many bytes a VM moved over its link in a second, by use. */
     LINK_USED,
+    /** A VM that can't keep up asks for no new connections. */
+    ROTATION_LEFT,
+    /** A VM asks for new connections again. */
+    ROTATION_JOINED,
     /** A router gets no answers from the endpoint registry. */
     REGISTRY_AWAY,
     /** A router gets answers from the endpoint registry again. */
--- /dev/null
+++ b/core/src/main/java/org/bramleylatch/core/Rotation.java
@@ -0,0 +1,45 @@
+package org.bramleylatch.core;
+
+import java.util.OptionalLong;
+
+/**
+ * Decides whether a VM asks the platform for new connections. A VM that can't keep up leaves the
+ * rotation, so that new connections of its callers reach other VMs; open ones are still served.
+ *
+ * @param isIn whether the VM asks for new connections
+ * @param contrarySinceMillis since when its load speaks against that; empty if it does not
+ */
+public record Rotation(boolean isIn, OptionalLong contrarySinceMillis) {
+    /** Outlasts a pause of the runtime and the first requests of a new process. */
+    private static final long LEAVE_AFTER_MILLIS = 500;
+
+    /** Covers two readiness checks, so that new connections have moved before the return. */
+    private static final long RETURN_AFTER_MILLIS = 3_000;
+
+    /** In a zone of fewer VMs, the others would have to take on too much each. */
+    private static final int MIN_VMS_OF_ZONE = 8;
+
+    /** Returns the state of a VM whose load is not known yet. */
+    public static Rotation initial() {
+        return new Rotation(true, OptionalLong.empty());
+    }
+
+    /**
+     * Returns the state after a measurement.
+     *
+     * @param vmsOfZone the number of known VMs of the zone, this one included
+     */
+    public Rotation next(VmLoad load, long vmsOfZone, long nowMillis) {
+        if (vmsOfZone < MIN_VMS_OF_ZONE) {
+            return initial();
+        }
+        if (load.isExcessive() != isIn) {
+            return new Rotation(isIn, OptionalLong.empty());
+        }
+        long sinceMillis = contrarySinceMillis.orElse(nowMillis);
+        long patienceMillis = isIn ? LEAVE_AFTER_MILLIS : RETURN_AFTER_MILLIS;
+        return nowMillis - sinceMillis >= patienceMillis
+                ? new Rotation(!isIn, OptionalLong.empty())
+                : new Rotation(isIn, OptionalLong.of(sinceMillis));
+    }
+}
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -46,6 +46,7 @@
     private HolderSelection holders = HolderSelection.none();
     private Optional<Incarnation> localKeeper = Optional.empty();
     private long configurationAsOfMillis;
+    private VmLoad load = VmLoad.none();
     private boolean stopping;
     private int routerCount = 1;
     private long nextMoveReportMillis;
@@ -282,6 +283,20 @@
         configurationAsOfMillis = Math.max(configurationAsOfMillis, asOfMillis);
     }
 
+    /** Returns the load of the VM that the router runs on. */
+    public VmLoad load() {
+        return load;
+    }
+
+    /** Returns the number of known VMs of this router's zone. */
+    public long countVmsOfZone() {
+        return vms.rows().filter(vm -> vm.zone().equals(zone)).count();
+    }
+
+    void setLoad(VmLoad measured) {
+        load = measured;
+    }
+
     long nextMoveReportMillis() {
         return nextMoveReportMillis;
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -20,6 +20,7 @@
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RouterWorld;
+import org.bramleylatch.core.VmLoad;
 import org.bramleylatch.core.VmRow;
 import org.bramleylatch.edge.EventLoopEnd;
 import org.bramleylatch.edge.HybridLogicalClock;
@@ -46,6 +47,9 @@
     private final GatewaySettings settings;
     private final EventLog eventLog;
     private final LoopLag loopLag;
+    private final LagMonitor lagMonitor;
+    private final LoadMeter loadMeter;
+    private final LoadShedding loadShedding;
     private final RequestMetrics metrics;
     private final PrometheusRegistry metricsRegistry = new PrometheusRegistry();
     private final Incarnation keeper;
@@ -90,7 +94,15 @@
         GatewayLoops loops = new GatewayLoops(vertx, context, clock, boot, settings);
         this.routerLoop = loops.router(router, this::handleRouterOutput);
         this.keeperLoop = loops.keeper(keeper, this::handleKeeperOutput);
-        this.loopLag = new LoopLag(clock, lagMonitor());
+        this.loopLag = new LoopLag(clock, this::measureLoad);
+        this.lagMonitor = new LagMonitor(metricsRegistry, routerLoop.world(), this::recordEvent);
+        this.loadShedding = loadShedding();
+        this.loadMeter =
+                new LoadMeter(
+                        clock,
+                        boot.limits().linkBytesPerSecond(),
+                        linkMeter::uses,
+                        this::applyLoad);
         this.store = new StoreClient(vertx, boot.storeAddress(), clock);
         this.configurationReceiver = configurationReceiver();
         this.endpointRegistry =
@@ -122,8 +134,21 @@
         return port == boot.callerAddress().port() ? "callers" : "peers";
     }
 
-    private LagMonitor lagMonitor() {
-        return new LagMonitor(metricsRegistry, routerLoop.world(), this::recordEvent);
+    private LoadShedding loadShedding() {
+        return new LoadShedding(
+                clock, boot.vm(), routerLoop.world()::countVmsOfZone, this::recordEvent);
+    }
+
+    private void measureLoad(long lateMillis) {
+        lagMonitor.accept(lateMillis);
+        loadMeter.accept(lateMillis);
+    }
+
+    private void applyLoad(VmLoad load) {
+        loadShedding.accept(load);
+        if (!load.equals(routerLoop.world().load())) {
+            routerLoop.offer(new RouterInput.LoadMeasured(load));
+        }
     }
 
     private ConfigurationReceiver configurationReceiver() {
@@ -146,7 +171,8 @@
                 brokenRequests::inc,
                 new RequestReader.Limits(
                         () -> configurationReceiver.latest().callerLimits(),
-                        BodyBudget.ofHeap(Runtime.getRuntime().maxMemory())),
+                        BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()),
+                        loadShedding::takeOn),
                 this::isStopping);
     }
 
@@ -353,7 +379,8 @@
                 && configurationReceiver.isCaughtUp()
                 && ledgerStream.isCaughtUp()
                 && peerDirectory.hasSelected()
-                && keeperLoop.world().isFunded();
+                && keeperLoop.world().isFunded()
+                && loadShedding.isInRotation();
     }
 
     private boolean isStopping() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/Rehearsal.java
@@ -25,7 +25,7 @@
     private static final long LOG_RETENTION_MILLIS = 20_000;
     private static final long GRACE_MILLIS = 1_500;
     private static final PlatformLimits LIMITS =
-            new PlatformLimits(GRACE_MILLIS, 200, 56, 10_000, 750);
+            new PlatformLimits(GRACE_MILLIS, 200, 56, 10_000, 750, 0);
 
     /** Long enough for a configuration, a grant and a snapshot to pass through the store. */
     private static final long SETTLE_MILLIS = 1_500;
--- a/gateway/src/main/java/org/bramleylatch/gateway/RequestReader.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/RequestReader.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.InstantSource;
 import java.util.Collections;
+import java.util.Optional;
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.function.Consumer;
@@ -46,8 +47,13 @@
      *
      * @param ofOperator supplies the operator's limits in force
      * @param bodyBudget bounds what the bodies of all requests take together
+     * @param shedding supplies after how many milliseconds the caller of a new request should send
+     *     it again, which is then refused before its body is read; empty if requests are served
      */
-    record Limits(Supplier<CallerLimits> ofOperator, BodyBudget bodyBudget) {}
+    record Limits(
+            Supplier<CallerLimits> ofOperator,
+            BodyBudget bodyBudget,
+            Supplier<Optional<Long>> shedding) {}
 
     /**
      * Creates a reader; requests arrive through {@link #read}.
@@ -109,12 +115,18 @@
                         request,
                         limits.ofOperator().get().maxBodyBytes(),
                         body,
-                        code -> refuseEarly(request, body, arrival, code));
+                        code ->
+                                refuseEarly(
+                                        request, body, arrival, refusal(code, describe(request))));
         connections.awaitBody(
                 request,
                 bodyPatienceMillis(request),
                 () -> reader.giveUp(ResultCode.DEADLINE_EXCEEDED));
-        reader.read(() -> readHead(request, body, arrival));
+        limits.shedding()
+                .get()
+                .ifPresentOrElse(
+                        retryMillis -> shed(request, body, arrival, retryMillis),
+                        () -> reader.read(() -> readHead(request, body, arrival)));
     }
 
     private static long bodyPatienceMillis(HttpServerRequest request) {
@@ -152,38 +164,59 @@
                 .refuse(refusal(refused.code(), refused.getMessage()), true);
     }
 
+    /** Refuses a request that this VM can't serve in time before its body is read. */
+    private void shed(
+            HttpServerRequest request, RequestBody body, ArrivalTime arrival, long retryMillis) {
+        request.handler(unread -> {});
+        refuseEarly(
+                request,
+                body,
+                arrival,
+                new RouterOutput.Refuse(
+                        RequestId.of(""),
+                        ResultCode.VM_OVERLOADED,
+                        RunState.NOT_RUN,
+                        "this VM can't keep up",
+                        Optional.of(retryMillis)));
+    }
+
     /**
      * Refuses a request whose body is still being sent. Closing a connection with unread bytes
      * resets it, which can destroy the refusal, so the rest of the body is read and dropped first.
      */
     private void refuseEarly(
-            HttpServerRequest request, RequestBody body, ArrivalTime arrival, ResultCode code) {
-        metrics.countRefusal(code);
-        String detail =
-                "body of "
-                        + BodyReader.declaredBytes(request).stream()
-                                .mapToObj(Long::toString)
-                                .findFirst()
-                                .orElse("unknown")
-                        + " bytes, bodies in memory="
-                        + limits.bodyBudget().usedBytes();
+            HttpServerRequest request,
+            RequestBody body,
+            ArrivalTime arrival,
+            RouterOutput.Refuse refusal) {
+        metrics.countRefusal(refusal.code());
         events.accept(
                 Event.of(
                         EventKind.REQUEST_REFUSED,
                         request.remoteAddress(),
-                        code
+                        refusal.code()
                                 + CallerRequestHead.requestId(request)
                                         .map(id -> " request=" + id)
                                         .orElse("")
                                 + " "
-                                + detail));
+                                + refusal.detail()));
         CallerExchange exchange = newExchange(request, CallerRequestHead.empty(), body, arrival);
-        exchange.refuseEarly(refusal(code, detail));
+        exchange.refuseEarly(refusal);
         request.endHandler(end -> exchange.endEarlyRefusal());
         request.exceptionHandler(left -> LOG.debug("caller left a refused request", left));
         connections.discard(request);
     }
 
+    private String describe(HttpServerRequest request) {
+        return "body of "
+                + BodyReader.declaredBytes(request).stream()
+                        .mapToObj(Long::toString)
+                        .findFirst()
+                        .orElse("unknown")
+                + " bytes, bodies in memory="
+                + limits.bodyBudget().usedBytes();
+    }
+
     private static RouterOutput.Refuse refusal(ResultCode code, String detail) {
         return new RouterOutput.Refuse(RequestId.of(""), code, RunState.NOT_RUN, detail);
     }
--- a/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/GatewayHarness.java
@@ -78,7 +78,7 @@
                         OptionalInt.empty(),
                         store.address(),
                         300_000,
-                        new PlatformLimits(8_000, 200, 56, 10_000, 750));
+                        new PlatformLimits(8_000, 200, 56, 10_000, 750, 0));
         gateway = GatewayDaemon.start(MonotonicClock.system(), boot, SETTINGS).join();
     }
 
@@ -171,7 +171,8 @@
     static RequestReader.Limits bodyLimits(IntSupplier maxBodyBytes) {
         return new RequestReader.Limits(
                 () -> new CallerLimits(maxBodyBytes.getAsInt(), 10_000, 60_000),
-                BodyBudget.ofHeap(HEAP_BYTES));
+                BodyBudget.ofHeap(HEAP_BYTES),
+                Optional::empty);
     }
 
     static String event(int id) {
