Keep log lines about the VM and the fleet when lines of single steps exceed the limit

Every line beyond logLinesPerSecond was dropped alike, so the busiest VM lost LOOP_LATE, LINK_USED and refusals to lines of attempts and grants.

--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -1,5 +1,8 @@
 package org.bramleylatch.core;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 /** Names the kinds of timeline entries; the names are written to the timeline as they are. */
 public enum EventKind {
     PROCESS_STARTED,
@@ -108,5 +111,48 @@
     ROLLOUT_REPORTED,
     /** A planned move began, entered a stage, or ended. */
     MOVE_ADVANCED,
-    ADMIN_CALLED
+    ADMIN_CALLED;
+
+    private static final Set<EventKind> STEPS =
+            EnumSet.of(
+                    CONNECTION_CLOSED,
+                    ANSWER_STARTED,
+                    ATTEMPT_STARTED,
+                    ATTEMPT_ANSWERED,
+                    ATTEMPT_UNANSWERED,
+                    ATTEMPT_ENDED,
+                    ATTEMPT_FAILED,
+                    ATTEMPT_SILENT,
+                    ATTEMPT_PARKED,
+                    MESSAGE_DROPPED,
+                    RESERVATION_GRANTED,
+                    RESERVATION_REFUSED,
+                    LENDER_ASKED,
+                    GRANT_ASKED,
+                    GRANT_RETURNED,
+                    USAGE_HELD,
+                    USAGE_SETTLED);
+
+    private static final Set<EventKind> REQUESTS =
+            EnumSet.of(
+                    REQUEST_ARRIVED,
+                    REQUEST_UNREAD,
+                    REQUEST_FINISHED,
+                    ANSWER_ENDED,
+                    RESERVATION_ORPHANED,
+                    BUDGET_STATE,
+                    INTENT_WON,
+                    INTENT_LOST,
+                    INTENT_FINISHED);
+
+    /** Returns the rank of events of this kind in a log with a limited rate. */
+    public EventPriority priority() {
+        if (STEPS.contains(this)) {
+            return EventPriority.STEP;
+        }
+        if (REQUESTS.contains(this)) {
+            return EventPriority.REQUEST;
+        }
+        return this == REQUEST_REFUSED ? EventPriority.REFUSAL : EventPriority.PROCESS;
+    }
 }
--- a/gateway/src/test/java/org/bramleylatch/gateway/RecordedEvents.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/RecordedEvents.java
@@ -38,12 +38,26 @@
         return details(kind, text);
     }
 
+    /** Returns the number of lines of a kind whose details hold a text. */
+    int count(EventKind kind, String text) {
+        return details(kind, text).size();
+    }
+
+    /** Returns the details of the lines that tell how many others were dropped. */
+    List<String> droppedLines() {
+        return details("LINES_DROPPED", "");
+    }
+
     @Override
     protected void append(ILoggingEvent event) {
         lines.add(event.getFormattedMessage());
     }
 
     private List<String> details(EventKind kind, String text) {
+        return details(kind.name(), text);
+    }
+
+    private List<String> details(String kind, String text) {
         return lines.stream()
                 .filter(line -> line.contains("\"event\":\"" + kind + "\""))
                 .map(DETAIL::matcher)
