Serve a request whose wait for tokens ends once the limit has risen to it

A request that the grant covers and the spending limit doesn't waits for a heartbeat. If none is read back, the limit still rises with time, but a waiting request was only looked at again when its budget changed: at the end of its wait it was refused whatever was available by then.

--- a/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperTimerSystem.java
@@ -24,7 +24,7 @@
         }
         Dispatch<KeeperTimer, Boolean> handlers =
                 Dispatch.<KeeperTimer, Boolean>empty()
-                        .on(ReserveTimeout.class, due -> refuseReservation(world, due.key()))
+                        .on(ReserveTimeout.class, due -> expireReservation(world, due.key()))
                         .on(IntentTimeout.class, due -> abandonIntent(world, due.key()))
                         .on(OrphanRetry.class, due -> queryAttemptUsageAgain(world, due, nowMillis))
                         .on(MoveDeadline.class, due -> expireMove(world, due, nowMillis))
@@ -35,9 +35,9 @@
         allDue.forEach(failures.guard(handlers::apply));
     }
 
-    private boolean refuseReservation(KeeperWorld world, RequestKey key) {
+    private boolean expireReservation(KeeperWorld world, RequestKey key) {
         Optional<ReservationRow> waiting = world.waitingReservations().find(key);
-        waiting.ifPresent(row -> ReservationSystem.refuse(world, row));
+        waiting.ifPresent(row -> ReservationSystem.endWait(world, row));
         return waiting.isPresent();
     }
 
--- a/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/ReservationSystem.java
@@ -24,6 +24,18 @@
         waiting.stream().sorted(BY_AGE).forEach(row -> reserveOrRefuse(world, row));
     }
 
+    /**
+     * Reserves the tokens of a request that has waited for as long as it may, or refuses it. The
+     * limit on what this keeper spends rises with time, also while no record is read back.
+     */
+    static void endWait(KeeperWorld world, ReservationRow row) {
+        if (world.availableTokens(row.budget()) >= row.tokens()) {
+            reserveAndNotify(world, row);
+        } else {
+            refuse(world, row);
+        }
+    }
+
     /** Refuses the request, with a code that tells an exhausted budget from an unavailable one. */
     static void refuse(KeeperWorld world, ReservationRow row) {
         ResultCode code = refusalCode(world, row);
--- a/core/src/test/java/org/bramleylatch/core/KeeperHarness.java
+++ b/core/src/test/java/org/bramleylatch/core/KeeperHarness.java
@@ -68,6 +68,11 @@
         receive(new KeeperInput.FromLog(new LogUpdate.ReachabilityReported(isAnswering)));
     }
 
+    /** Makes the log drop appends without telling the keeper. */
+    void dropAppends() {
+        logAnswering = false;
+    }
+
     void receive(KeeperInput input) {
         world.inbox().add(input);
         tick();
