Judge the rate of requests only by those that are taken on, and keep it over a return

The parts that measure are joined in LoadMonitoring, and what connections are used for has names (LinkUse).

--- a/core/src/main/java/org/bramleylatch/core/Rotation.java
+++ b/core/src/main/java/org/bramleylatch/core/Rotation.java
@@ -3,14 +3,14 @@
 import java.util.OptionalLong;
 
 /**
- * Decides whether a VM asks the platform for new connections. A VM that can't keep up leaves the
- * rotation, so that new connections of its callers reach other VMs; open ones are still served.
+ * Decides whether a VM asks the platform for new connections. A VM that gets more requests than it
+ * keeps up with leaves the rotation, so that new connections of its callers reach other VMs; open
+ * ones are still served.
  *
  * @param isIn whether the VM asks for new connections
- * @param contrarySinceMillis since when its load speaks against that; empty if it does not
+ * @param changingSinceMillis since when its load calls for the other state; empty if it does not
  */
-public record Rotation(boolean isIn, OptionalLong contrarySinceMillis) {
-    /** Outlasts a pause of the runtime and the first requests of a new process. */
+public record Rotation(boolean isIn, OptionalLong changingSinceMillis) {
     private static final long LEAVE_AFTER_MILLIS = 500;
 
     /** Covers two readiness checks, so that new connections have moved before the return. */
@@ -25,18 +25,28 @@
     }
 
     /**
-     * Returns the state after a measurement.
+     * Returns the state after a measurement. A VM that is late with few requests stays in: the
+     * cause lies elsewhere, and may act on all VMs at once.
      *
+     * @param requestsPerSecond what the VM has taken on in the last second
+     * @param refuses whether it has refused some beyond that
      * @param vmsOfZone the number of known VMs of the zone, this one included
      */
-    public Rotation next(VmLoad load, long vmsOfZone, long nowMillis) {
+    public Rotation next(
+            VmLoad load,
+            double requestsPerSecond,
+            boolean refuses,
+            long vmsOfZone,
+            long nowMillis) {
         if (vmsOfZone < MIN_VMS_OF_ZONE) {
             return initial();
         }
-        if (load.isExcessive() != isIn) {
+        boolean isBusy = requestsPerSecond >= RequestRateLimit.MIN_REQUESTS_PER_SECOND;
+        boolean shouldBeIn = !refuses && !(load.isExcessive() && isBusy);
+        if (shouldBeIn == isIn) {
             return new Rotation(isIn, OptionalLong.empty());
         }
-        long sinceMillis = contrarySinceMillis.orElse(nowMillis);
+        long sinceMillis = changingSinceMillis.orElse(nowMillis);
         long patienceMillis = isIn ? LEAVE_AFTER_MILLIS : RETURN_AFTER_MILLIS;
         return nowMillis - sinceMillis >= patienceMillis
                 ? new Rotation(!isIn, OptionalLong.empty())
--- a/core/src/main/java/org/bramleylatch/core/VmLoad.java
+++ b/core/src/main/java/org/bramleylatch/core/VmLoad.java
@@ -14,21 +14,25 @@
     /** Leaves room for the headers of packets and for what is not sent for requests. */
     private static final int FULL_LINK_PERMILLE = 750;
 
-    /** Is about what a calm event loop reaches by a single pause of the runtime. */
-    private static final long LATE_MILLIS = 40;
+    /** Exceeds the pauses of a VM that may use its processor for a part of each 100 ms only. */
+    private static final long LATE_MILLIS = 60;
 
     /** Returns the load of a VM that does nothing. */
     public static VmLoad none() {
         return NONE;
     }
 
+    /** Returns true if what the VM reads, handles or writes waits for its turn. */
+    public boolean isExcessive() {
+        return readPermille >= FULL_LINK_PERMILLE || isBehind();
+    }
+
     /**
-     * Returns true if the VM can't keep up, so that what it waits for seems to be late although it
-     * is not.
+     * Returns true if the VM can't keep up with the requests that it has taken on. Bytes that
+     * arrive don't tell, as those of requests that it refuses arrive as well.
      */
-    public boolean isExcessive() {
-        return Math.max(readPermille, writtenPermille) >= FULL_LINK_PERMILLE
-                || loopLateMillis >= LATE_MILLIS;
+    public boolean isBehind() {
+        return writtenPermille >= FULL_LINK_PERMILLE || loopLateMillis >= LATE_MILLIS;
     }
 
     @Override
--- a/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.net.SocketAddress;
 import io.vertx.grpc.client.GrpcClient;
 import io.vertx.grpc.client.GrpcClientRequest;
@@ -50,7 +51,8 @@
         this.self = self;
         this.hybridClock = hybridClock;
         this.inbox = inbox;
-        this.client = GrpcClient.client(vertx);
+        this.client =
+                GrpcClient.client(vertx, new HttpClientOptions().setMetricsName(LinkUse.PEERS));
     }
 
     /** Connects to the keeper at the address, unless that address was given before. */
--- a/edge/src/main/java/org/bramleylatch/edge/LinkMeter.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LinkMeter.java
@@ -18,8 +18,8 @@
 
 /**
  * Counts the bytes that the runtime moves over the VM's link, by the use of the connection: the
- * name that a client's options give, or the one that belongs to a server's port. Bytes of headers
- * below TCP and bytes that are sent again are not counted.
+ * name that a client's options give, or the one that belongs to a server's port. Of HTTP/1 messages
+ * the content is counted, not the head.
  */
 public final class LinkMeter implements VertxMetricsFactory, VertxMetrics {
     private final IntFunction<String> serverUses;
--- a/edge/src/main/java/org/bramleylatch/edge/LinkUse.java
+++ b/edge/src/main/java/org/bramleylatch/edge/LinkUse.java
@@ -8,6 +8,23 @@
  * @param writtenBytes the bytes written since the process started
  */
 public record LinkUse(String use, long readBytes, long writtenBytes) {
+    /** Connections that callers opened. */
+    public static final String CALLERS = "callers";
+
+    /** Connections to endpoints. */
+    public static final String ENDPOINTS = "endpoints";
+
+    /** Connections to endpoints that this VM carries for its peers. */
+    public static final String RELAY = "relay";
+
+    /** Connections that try whether an endpoint or a peer is reached. */
+    public static final String PROBES = "probes";
+
+    /** Connections to the platform's store. */
+    public static final String STORE = "store";
+
+    /** Connections between the VMs. */
+    public static final String PEERS = "peers";
 
     /** Returns a count of nothing. */
     static LinkUse unused(String use) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -28,6 +28,7 @@
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RunState;
 import org.bramleylatch.core.StreamBound;
+import org.bramleylatch.edge.LinkUse;
 import org.bramleylatch.platform.EndpointEntry;
 import org.bramleylatch.platform.EndpointRequestHead;
 import org.bramleylatch.wire.Address;
@@ -347,7 +348,7 @@
 
     private static HttpClientOptions clientOptions() {
         return new HttpClientOptions()
-                .setMetricsName("endpoints")
+                .setMetricsName(LinkUse.ENDPOINTS)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                 .setReceiveBufferSize(RECEIVE_BUFFER_BYTES)
                 .setTcpNoDelay(true);
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointProber.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointProber.java
@@ -16,6 +16,7 @@
 import org.bramleylatch.core.RouterInput.EndpointProbed.Outcome;
 import org.bramleylatch.core.RouterInput.PathProbed;
 import org.bramleylatch.core.RouterOutput;
+import org.bramleylatch.edge.LinkUse;
 import org.bramleylatch.platform.EndpointEntry;
 import org.bramleylatch.wire.Address;
 import org.slf4j.Logger;
@@ -53,7 +54,7 @@
         this.probeClient =
                 vertx.createNetClient(
                         new NetClientOptions()
-                                .setMetricsName("probes")
+                                .setMetricsName(LinkUse.PROBES)
                                 .setConnectTimeout(PROBE_TIMEOUT_MILLIS));
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -5,7 +5,6 @@
 import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -20,14 +19,12 @@
 import org.bramleylatch.core.RouterInput;
 import org.bramleylatch.core.RouterOutput;
 import org.bramleylatch.core.RouterWorld;
-import org.bramleylatch.core.VmLoad;
 import org.bramleylatch.core.VmRow;
 import org.bramleylatch.edge.EventLoopEnd;
 import org.bramleylatch.edge.HybridLogicalClock;
 import org.bramleylatch.edge.KeeperConnections;
 import org.bramleylatch.edge.LedgerStream;
 import org.bramleylatch.edge.LinkMeter;
-import org.bramleylatch.edge.LoopLag;
 import org.bramleylatch.edge.MonotonicClock;
 import org.bramleylatch.edge.RandomIds;
 import org.bramleylatch.edge.RequestMetrics;
@@ -40,16 +37,12 @@
 /** Runs a router and a keeper in one process, both on the same event loop. */
 public final class GatewayDaemon {
     private final Vertx vertx;
-    private final LinkMeter linkMeter;
     private final Context context;
     private final MonotonicClock clock;
     private final BootFile boot;
     private final GatewaySettings settings;
     private final EventLog eventLog;
-    private final LoopLag loopLag;
-    private final LagMonitor lagMonitor;
-    private final LoadMeter loadMeter;
-    private final LoadShedding loadShedding;
+    private final LoadMonitoring load;
     private final RequestMetrics metrics;
     private final PrometheusRegistry metricsRegistry = new PrometheusRegistry();
     private final Incarnation keeper;
@@ -75,13 +68,8 @@
     private final GatewayServers servers;
 
     private GatewayDaemon(
-            Vertx vertx,
-            LinkMeter linkMeter,
-            MonotonicClock clock,
-            BootFile boot,
-            GatewaySettings settings) {
-        this.vertx = vertx;
-        this.linkMeter = linkMeter;
+            GatewayRuntime runtime, MonotonicClock clock, BootFile boot, GatewaySettings settings) {
+        this.vertx = runtime.vertx();
         this.context = vertx.getOrCreateContext();
         this.clock = clock;
         this.boot = boot;
@@ -94,15 +82,7 @@
         GatewayLoops loops = new GatewayLoops(vertx, context, clock, boot, settings);
         this.routerLoop = loops.router(router, this::handleRouterOutput);
         this.keeperLoop = loops.keeper(keeper, this::handleKeeperOutput);
-        this.loopLag = new LoopLag(clock, this::measureLoad);
-        this.lagMonitor = new LagMonitor(metricsRegistry, routerLoop.world(), this::recordEvent);
-        this.loadShedding = loadShedding();
-        this.loadMeter =
-                new LoadMeter(
-                        clock,
-                        boot.limits().linkBytesPerSecond(),
-                        linkMeter::uses,
-                        this::applyLoad);
+        this.load = loadMonitoring(runtime.linkMeter());
         this.store = new StoreClient(vertx, boot.storeAddress(), clock);
         this.configurationReceiver = configurationReceiver();
         this.endpointRegistry =
@@ -129,31 +109,20 @@
         this.keeperHandlers = keeperHandlers();
     }
 
-    /** Names what the connections that are accepted on a port are used for. */
-    private static String linkUse(BootFile boot, int port) {
-        return port == boot.callerAddress().port() ? "callers" : "peers";
-    }
-
-    private LoadShedding loadShedding() {
-        return new LoadShedding(
-                clock, boot.vm(), routerLoop.world()::countVmsOfZone, this::recordEvent);
-    }
-
-    private void measureLoad(long lateMillis) {
-        lagMonitor.accept(lateMillis);
-        loadMeter.accept(lateMillis);
-    }
-
-    private void applyLoad(VmLoad load) {
-        loadShedding.accept(load);
-        if (!load.equals(routerLoop.world().load())) {
-            routerLoop.offer(new RouterInput.LoadMeasured(load));
-        }
+    private LoadMonitoring loadMonitoring(LinkMeter linkMeter) {
+        return new LoadMonitoring(
+                clock,
+                boot,
+                linkMeter,
+                metricsRegistry,
+                routerLoop.world(),
+                routerLoop::offer,
+                this::recordEvent);
     }
 
     private ConfigurationReceiver configurationReceiver() {
         return new ConfigurationReceiver(
-                routerLoop::offer, keeperLoop::offer, () -> clock.millis() - loopLag.millis());
+                routerLoop::offer, keeperLoop::offer, () -> clock.millis() - load.lagMillis());
     }
 
     private CallerServer callerServer() {
@@ -164,7 +133,7 @@
                         .register(metricsRegistry);
         return new CallerServer(
                 clock,
-                loopLag::millis,
+                load::lagMillis,
                 routerLoop::offer,
                 metrics,
                 this::recordEvent,
@@ -172,7 +141,7 @@
                 new RequestReader.Limits(
                         () -> configurationReceiver.latest().callerLimits(),
                         BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()),
-                        loadShedding::takeOn),
+                        load.shedding()::takeOn),
                 this::isStopping);
     }
 
@@ -250,15 +219,8 @@
      */
     public static CompletableFuture<GatewayDaemon> start(
             MonotonicClock clock, BootFile boot, GatewaySettings settings) {
-        LinkMeter linkMeter = new LinkMeter(port -> linkUse(boot, port));
-        VertxOptions options =
-                new VertxOptions()
-                        .setEventLoopPoolSize(1)
-                        .setWorkerPoolSize(1)
-                        .setInternalBlockingPoolSize(1);
-        Vertx vertx =
-                Vertx.builder().with(LinkMeter.reportTo(options)).withMetrics(linkMeter).build();
-        GatewayDaemon daemon = new GatewayDaemon(vertx, linkMeter, clock, boot, settings);
+        GatewayDaemon daemon =
+                new GatewayDaemon(GatewayRuntime.create(boot), clock, boot, settings);
         CompletableFuture<GatewayDaemon> started = new CompletableFuture<>();
         daemon.context.runOnContext(ignored -> daemon.startOnContext(started));
         return started;
@@ -326,9 +288,7 @@
 
     private void startOnContext(CompletableFuture<GatewayDaemon> started) {
         Infrastructure.setDefaultExecutor(task -> context.runOnContext(ignored -> task.run()));
-        loopLag.start(vertx);
-        new LinkMonitor(metricsRegistry, clock, boot.vm(), linkMeter::uses, this::recordEvent)
-                .start(vertx);
+        load.start(vertx);
         callerServer.start(vertx);
         recordEvent(Event.of(EventKind.PROCESS_STARTED, router, "zone=" + boot.zone()));
         routerLoop.offer(new RouterInput.LocalKeeperUp(keeper));
@@ -380,7 +340,7 @@
                 && ledgerStream.isCaughtUp()
                 && peerDirectory.hasSelected()
                 && keeperLoop.world().isFunded()
-                && loadShedding.isInRotation();
+                && load.shedding().isInRotation();
     }
 
     private boolean isStopping() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/LoadMeter.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LoadMeter.java
@@ -12,8 +12,12 @@
 
 /** Measures the load of the VM over the last second, each time the event loop's lag is measured. */
 final class LoadMeter implements LongConsumer {
-    /** What the platform's link carries for requests; reads of the store bound themselves. */
-    private static final Set<String> REQUEST_USES = Set.of("callers", "endpoints");
+    /** The store is read by all VMs at once, so that no other VM would have room. */
+    private static final Set<String> REQUEST_USES =
+            Set.of(LinkUse.CALLERS, LinkUse.ENDPOINTS, LinkUse.RELAY);
+
+    /** A longer pause is one of the whole process and says nothing about the load before. */
+    private static final long MAX_LATE_MILLIS = 200;
 
     private static final double MEAN_MILLIS = 1_000;
     private static final double PERMILLE = 1_000;
@@ -55,8 +59,10 @@
             return;
         }
         measuredMillis += elapsedMillis;
-        double weight = 1 - Math.exp(-elapsedMillis / MEAN_MILLIS);
-        lateMillis += weight * (newestLateMillis - lateMillis);
+        long countedLateMillis = Math.min(newestLateMillis, MAX_LATE_MILLIS);
+        long countedMillis = elapsedMillis - newestLateMillis + countedLateMillis;
+        double weight = 1 - Math.exp(-countedMillis / MEAN_MILLIS);
+        lateMillis += weight * (countedLateMillis - lateMillis);
         measureLink(elapsedMillis, weight);
         loads.accept(new VmLoad((int) readPermille, (int) writtenPermille, (long) lateMillis));
     }
--- a/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
@@ -6,30 +6,41 @@
 import java.util.function.LongSupplier;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
-import org.bramleylatch.core.Intake;
+import org.bramleylatch.core.RequestRateLimit;
 import org.bramleylatch.core.Rotation;
 import org.bramleylatch.core.VmLoad;
 
 /**
- * Applies what {@link Rotation} and {@link Intake} decide: readiness, and refusals before a body is
- * read.
+ * Applies what {@link Rotation} and {@link RequestRateLimit} decide: readiness, and refusals before
+ * a body is read.
  */
 final class LoadShedding implements Consumer<VmLoad> {
     /** Two readiness checks, after which the platform sends new connections to other VMs. */
     private static final long MOVE_MILLIS = 2_000;
 
     private static final long RECONNECT_MILLIS = 50;
+
+    /** Spreads the return of callers that are refused together, in steps that don't divide it. */
+    private static final long SPREAD_MILLIS = 500;
+
+    private static final long SPREAD_STEP_MILLIS = 37;
+    private static final long MAX_COUNTED_MILLIS = 300;
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** At a higher rate, the limit has no effect any more. */
+    private static final double UNLIMITED_PER_SECOND = 500;
+
     private final InstantSource clock;
     private final String vm;
     private final LongSupplier vmsOfZone;
     private final Consumer<Event> events;
     private Rotation rotation = Rotation.initial();
-    private Optional<Intake> intake = Optional.empty();
+    private Optional<RequestRateLimit> limit = Optional.empty();
     private long leftMillis;
     private long measuredMillis;
     private int takenOn;
+    private int refused;
+    private long refusedInAll;
     private double takenOnPerSecond;
 
     /**
@@ -49,19 +60,21 @@
     @Override
     public void accept(VmLoad load) {
         long nowMillis = clock.millis();
-        long elapsedMillis = nowMillis - measuredMillis;
+        long elapsedMillis = Math.min(nowMillis - measuredMillis, MAX_COUNTED_MILLIS);
         measuredMillis = nowMillis;
         measureTakenOn(elapsedMillis);
+        limit =
+                limit.map(now -> now.adjust(elapsedMillis, load.isBehind(), nowMillis))
+                        .filter(now -> now.requestsPerSecond() < UNLIMITED_PER_SECOND);
         boolean wasIn = rotation.isIn();
-        rotation = rotation.next(load, vmsOfZone.getAsLong(), nowMillis);
-        if (rotation.isIn() == wasIn) {
-            intake = intake.map(limit -> limit.after(elapsedMillis, load.isExcessive()));
-        } else if (wasIn) {
-            leftMillis = nowMillis;
-            intake = Optional.of(Intake.below(takenOnPerSecond));
-            note(EventKind.ROTATION_LEFT, load);
-        } else {
-            intake = Optional.empty();
+        rotation =
+                rotation.next(
+                        load, takenOnPerSecond, refused > 0, vmsOfZone.getAsLong(), nowMillis);
+        takenOn = 0;
+        refused = 0;
+        if (wasIn && !rotation.isIn()) {
+            leave(load, nowMillis);
+        } else if (!wasIn && rotation.isIn()) {
             note(EventKind.ROTATION_JOINED, load);
         }
     }
@@ -72,25 +85,39 @@
     }
 
     /**
-     * Takes on a request that arrives now. Returns empty if it is to be served, or after how many
-     * milliseconds its caller should send it again if it is to be refused before its body is read:
-     * a new connection reaches another VM then.
+     * Takes on a request that arrives now, or counts it as refused. Returns empty if it is to be
+     * served; otherwise its body is not to be read, and the result is after how many milliseconds
+     * its caller should send it again over a new connection, which reaches another VM then.
      */
     Optional<Long> takeOn() {
-        if (intake.filter(limit -> !limit.allowsOne()).isPresent()) {
-            return Optional.of(
-                    Math.max(RECONNECT_MILLIS, leftMillis + MOVE_MILLIS - clock.millis()));
+        long nowMillis = clock.millis();
+        if (limit.filter(now -> !now.allowsOne(nowMillis)).isPresent()) {
+            refused++;
+            refusedInAll++;
+            return Optional.of(retryMillis(nowMillis));
         }
         takenOn++;
-        intake = intake.map(Intake::takeOne);
+        limit = limit.map(now -> now.takeOne(nowMillis));
         return Optional.empty();
     }
 
+    private void leave(VmLoad load, long nowMillis) {
+        leftMillis = nowMillis;
+        limit = limit.or(() -> Optional.of(RequestRateLimit.below(takenOnPerSecond, nowMillis)));
+        note(EventKind.ROTATION_LEFT, load);
+    }
+
+    private long retryMillis(long nowMillis) {
+        long untilMovedMillis = Math.max(0, leftMillis + MOVE_MILLIS - nowMillis);
+        return RECONNECT_MILLIS
+                + untilMovedMillis
+                + refusedInAll * SPREAD_STEP_MILLIS % SPREAD_MILLIS;
+    }
+
     private void measureTakenOn(long elapsedMillis) {
         double weight = 1 - Math.exp(-elapsedMillis / MILLIS_PER_SECOND);
         double newest = takenOn * MILLIS_PER_SECOND / Math.max(1, elapsedMillis);
         takenOnPerSecond += weight * (newest - takenOnPerSecond);
-        takenOn = 0;
     }
 
     private void note(EventKind kind, VmLoad load) {
--- a/gateway/src/main/java/org/bramleylatch/gateway/PeerRelay.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/PeerRelay.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import org.bramleylatch.edge.LinkUse;
 import org.bramleylatch.gateway.SocksHandshake.Reply;
 import org.bramleylatch.wire.Address;
 import org.slf4j.Logger;
@@ -60,7 +61,7 @@
         this.client =
                 vertx.createNetClient(
                         new NetClientOptions()
-                                .setMetricsName("relay")
+                                .setMetricsName(LinkUse.RELAY)
                                 .setConnectTimeout(EndpointClient.CONNECT_TIMEOUT_MILLIS)
                                 .setTcpNoDelay(true));
     }
