Confirm the configuration only by a page that reaches the end of its stream

Cause: ConfigurationReceiver confirmed the configuration with each page, also with one behind which changes waited, and with one whose newest value could not be read.

Change: KeyedPage tells whether it reached the end. Only such a page, if all of it was readable, confirms the configuration.

--- a/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
@@ -79,8 +79,9 @@
     }
 
     /**
-     * Applies the newest valid configuration, then the orders in a page of the operator's stream.
-     * An invalid configuration is logged and skipped.
+     * Applies the newest valid configuration, then the orders in a page of the operator's stream,
+     * and confirms the configuration if the page reaches the end. An invalid configuration is
+     * logged and skipped.
      */
     void receivePage(KeyedPage page) {
         if (!reachable) {
@@ -90,8 +91,10 @@
         readToEnd |= isKnown() && page.changes().isEmpty();
         lastPageUnreadable = false;
         readNewestConfiguration(page);
-        routerInbox.accept(new RouterInput.ConfigurationConfirmed(readMillis.getAsLong()));
         page.applyEach(GUARD, this::readOrder);
+        if (page.reachesEnd() && !lastPageUnreadable) {
+            routerInbox.accept(new RouterInput.ConfigurationConfirmed(readMillis.getAsLong()));
+        }
     }
 
     /** Logs that the stream can't be read; the newest configuration stays in use. */
--- a/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
@@ -46,7 +46,7 @@
     }
 
     @Test
-    void eachPageConfirmsThatNoNewerConfigurationWasInForceWhenItWasRead() {
+    void aPageThatReachesTheEndConfirmsThatNoNewerConfigurationWasInForceWhenItWasRead() {
         receiver.receivePage(page(new String[0]));
         assertThat(routerInbox)
                 .containsExactly(new RouterInput.ConfigurationConfirmed(READ_MILLIS));
@@ -112,7 +112,7 @@
             changes.add(
                     new KeyedChange(OperatorConfig.STREAM_KEY, Optional.of(text), changes.size()));
         }
-        return new KeyedPage(true, changes);
+        return new KeyedPage(true, true, changes);
     }
 
     private static String text(int version) {
