Count the configuration's age from when its read was asked

Cause: a page was taken to be as old as the loop's lag when it was handled. An answer over a full or broken link is older than that by its journey.

Change: a page tells up to when it was read: when the read was asked, or the end of the wait if the store waited for all of it without a record. A change that ends a wait thus leaves an older age, so the next read waits no longer than until the configuration is about to count as old.

ConfigurationReceiverTest got a case for the wait.

--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -27,7 +27,7 @@
     /**
      * Reports that the configuration's stream was read to its end.
      *
-     * @param asOfMillis when the read was answered, in milliseconds since the epoch
+     * @param asOfMillis up to when it was read, in milliseconds since the epoch
      */
     record ConfigurationConfirmed(long asOfMillis) implements RouterInput {}
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/ConfigurationReceiver.java
@@ -1,10 +1,10 @@
 package org.bramleylatch.gateway;
 
+import java.time.InstantSource;
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.bramleylatch.core.KeeperInput;
 import org.bramleylatch.core.ResultCode;
 import org.bramleylatch.core.RouterInput;
@@ -21,28 +21,34 @@
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationReceiver.class);
     private static final RecordGuard GUARD = RecordGuard.of("operator stream");
 
+    /**
+     * Leaves 400 ms for a read until the configuration counts as old, after which nothing is
+     * refused for good.
+     */
+    private static final long MAX_WAIT_MILLIS = 1_500;
+
     private final Consumer<RouterInput> routerInbox;
     private final Consumer<KeeperInput> keeperInbox;
-    private final LongSupplier readMillis;
+    private final InstantSource clock;
     private Runnable changeListener = () -> {};
     private OperatorConfig latest = OperatorConfig.empty();
     private boolean reachable = true;
     private boolean readToEnd;
     private boolean lastPageUnreadable;
+    private long confirmedMillis;
 
     /**
      * Creates a receiver.
      *
-     * @param readMillis supplies when what is handled now can have arrived at the earliest, in
-     *     milliseconds since the epoch
+     * @param clock the clock by which pages tell their time
      */
     ConfigurationReceiver(
             Consumer<RouterInput> routerInbox,
             Consumer<KeeperInput> keeperInbox,
-            LongSupplier readMillis) {
+            InstantSource clock) {
         this.routerInbox = routerInbox;
         this.keeperInbox = keeperInbox;
-        this.readMillis = readMillis;
+        this.clock = clock;
     }
 
     /** Sets the action that runs after each newer configuration; replaces an earlier action. */
@@ -70,6 +76,15 @@
         return isKnown() && !readToEnd;
     }
 
+    /**
+     * Returns the longest time for which the next read may wait for changes, in milliseconds, so
+     * that it confirms the configuration before that counts as old.
+     */
+    long maxWaitMillis() {
+        long ageMillis = clock.millis() - confirmedMillis;
+        return isReadingToEnd() ? 0 : Math.max(0, MAX_WAIT_MILLIS - ageMillis);
+    }
+
     /**
      * Returns true if the last page had a value that can't be read, so that a value before it which
      * the page leaves out is still in force.
@@ -93,7 +108,8 @@
         readNewestConfiguration(page);
         page.applyEach(GUARD, this::readOrder);
         if (page.reachesEnd() && !lastPageUnreadable) {
-            routerInbox.accept(new RouterInput.ConfigurationConfirmed(readMillis.getAsLong()));
+            confirmedMillis = page.asOfMillis();
+            routerInbox.accept(new RouterInput.ConfigurationConfirmed(confirmedMillis));
         }
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -127,8 +127,7 @@
     }
 
     private ConfigurationReceiver configurationReceiver() {
-        return new ConfigurationReceiver(
-                routerLoop::offer, keeperLoop::offer, () -> clock.millis() - loopLag.millis());
+        return new ConfigurationReceiver(routerLoop::offer, keeperLoop::offer, clock);
     }
 
     private CallerServer callerServer() {
--- a/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/StoreFollowers.java
@@ -29,12 +29,6 @@
      */
     private static final long RARE_CHANGES_WAIT_MILLIS = 10_000;
 
-    /**
-     * Leaves 400 ms for a read until the configuration counts as old, after which nothing is
-     * refused for good.
-     */
-    private static final long MAX_CONFIGURATION_WAIT_MILLIS = 1_500;
-
     private static final Duration MAX_RETRY_PAUSE = Duration.ofMillis(400);
 
     /** Starts to follow all streams. */
@@ -45,7 +39,7 @@
         follow(
                 "operator stream",
                 waitMillis -> readOperatorConfig(operatorConfig, waitMillis),
-                pace(Math.min(settings.storeWaitMillis(), MAX_CONFIGURATION_WAIT_MILLIS), 0),
+                changePace,
                 configurationReceiver::receivePage,
                 configurationReceiver::markUnreachable);
         follow(
@@ -74,7 +68,7 @@
         if (configurationReceiver.needsEarlierValues()) {
             return stream.readSkipped();
         }
-        return stream.read(configurationReceiver.isReadingToEnd() ? 0 : waitMillis);
+        return stream.read(Math.min(waitMillis, configurationReceiver.maxWaitMillis()));
     }
 
     private long ledgerPauseMillis() {
--- a/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/ConfigurationReceiverTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -23,8 +24,12 @@
 
     private final List<RouterInput> routerInbox = new ArrayList<>();
     private final List<KeeperInput> keeperInbox = new ArrayList<>();
+    private long ageMillis;
     private final ConfigurationReceiver receiver =
-            new ConfigurationReceiver(routerInbox::add, keeperInbox::add, () -> READ_MILLIS);
+            new ConfigurationReceiver(
+                    routerInbox::add,
+                    keeperInbox::add,
+                    () -> Instant.ofEpochMilli(READ_MILLIS + ageMillis));
 
     @Test
     void theFirstPageIsNotTheEndWhileTheNextOneIsBeingRead() {
@@ -52,6 +57,19 @@
                 .containsExactly(new RouterInput.ConfigurationConfirmed(READ_MILLIS));
     }
 
+    /** Guards against refusals as CONFIGURATION_STALE while the store answers in time. */
+    @Test
+    void theNextReadWaitsNoLongerThanUntilTheConfigurationIsAboutToCountAsOld() {
+        receiver.receivePage(page(1));
+        assertThat(receiver.maxWaitMillis()).isZero();
+        receiver.receivePage(page(new String[0]));
+        assertThat(receiver.maxWaitMillis()).isEqualTo(1_500);
+        ageMillis = 1_400;
+        assertThat(receiver.maxWaitMillis()).isEqualTo(100);
+        ageMillis = 2_500;
+        assertThat(receiver.maxWaitMillis()).isZero();
+    }
+
     @Test
     void aKnownConfigurationStaysInUseWhileTheStreamIsUnreachable() {
         receiver.receivePage(page(1));
@@ -112,7 +130,7 @@
             changes.add(
                     new KeyedChange(OperatorConfig.STREAM_KEY, Optional.of(text), changes.size()));
         }
-        return new KeyedPage(true, true, changes);
+        return new KeyedPage(true, true, READ_MILLIS, changes);
     }
 
     private static String text(int version) {
--- a/gateway/src/test/java/org/bramleylatch/gateway/EndpointRegistryTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/EndpointRegistryTest.java
@@ -49,7 +49,7 @@
     }
 
     private void receive(boolean listsAllKeys, KeyedChange... changes) {
-        registry.receivePage(new KeyedPage(listsAllKeys, true, List.of(changes)));
+        registry.receivePage(new KeyedPage(listsAllKeys, true, 0, List.of(changes)));
     }
 
     private static KeyedChange change(String key, String value, long offset) {
--- a/gateway/src/test/java/org/bramleylatch/gateway/PeerDirectoryTest.java
+++ b/gateway/src/test/java/org/bramleylatch/gateway/PeerDirectoryTest.java
@@ -32,7 +32,7 @@
     private static final PeerEntry SELF =
             new PeerEntry(
                     new VmRow("front-1", Zone.of("langnau"), 500), new Address("127.0.0.1", 7_000));
-    private static final KeyedPage NO_PEERS = new KeyedPage(true, true, List.of());
+    private static final KeyedPage NO_PEERS = new KeyedPage(true, true, 0, List.of());
 
     private final Vertx vertx = Vertx.vertx();
     private LoopbackStore store;
@@ -70,7 +70,7 @@
         store.restore(emptyCopy);
         KeyedChange earlier =
                 new KeyedChange("front-1", Optional.of("127.0.0.1:6000 500 langnau"), 0);
-        directory.receivePage(new KeyedPage(true, true, List.of(earlier)));
+        directory.receivePage(new KeyedPage(true, true, 0, List.of(earlier)));
         awaitPublished();
     }
 
