--- a/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/GatewayDaemon.java
@@ -121,8 +121,7 @@
     }
 
     private ConfigurationReceiver configurationReceiver() {
-        return new ConfigurationReceiver(
-                routerLoop::offer, keeperLoop::offer, () -> clock.millis() - load.lagMillis());
+        return new ConfigurationReceiver(routerLoop::offer, keeperLoop::offer, clock);
     }
 
     private CallerServer callerServer() {
