--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -11,6 +11,7 @@
 import org.bramleylatch.core.RouterInput.EndpointsListed;
 import org.bramleylatch.core.RouterInput.KeeperDown;
 import org.bramleylatch.core.RouterInput.KeeperUp;
+import org.bramleylatch.core.RouterInput.LoadMeasured;
 import org.bramleylatch.core.RouterInput.LocalKeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
 import org.bramleylatch.core.RouterInput.RoutersCounted;
@@ -41,6 +42,12 @@
         return true;
     }
 
+    /** Replaces the measurement of this VM's load. */
+    boolean applyLoad(LoadMeasured measured) {
+        world.setLoad(measured.load());
+        return true;
+    }
+
     /**
      * Applies the platform's list. An endpoint that is not listed any more gets no new work and is
      * removed once it runs no request.
--- a/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInboxSystem.java
@@ -21,6 +21,7 @@
 import org.bramleylatch.core.RouterInput.IntentWon;
 import org.bramleylatch.core.RouterInput.KeeperDown;
 import org.bramleylatch.core.RouterInput.KeeperUp;
+import org.bramleylatch.core.RouterInput.LoadMeasured;
 import org.bramleylatch.core.RouterInput.LocalKeeperUp;
 import org.bramleylatch.core.RouterInput.MoveChanged;
 import org.bramleylatch.core.RouterInput.OutputFailed;
@@ -139,6 +140,7 @@
     private static void addFleetHandlers() {
         HANDLERS.on(ConfigurationReceived.class, (tick, m) -> tick.fleet().applyConfiguration(m))
                 .on(ConfigurationConfirmed.class, (tick, m) -> tick.fleet().confirmConfiguration(m))
+                .on(LoadMeasured.class, (tick, m) -> tick.fleet().applyLoad(m))
                 .on(EndpointsListed.class, (tick, m) -> tick.fleet().applyListing(m))
                 .on(EndpointReported.class, (tick, m) -> tick.fleet().applyReport(m))
                 .on(KeeperUp.class, (tick, m) -> tick.fleet().addKeeper(m))
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -31,6 +31,9 @@
      */
     record ConfigurationConfirmed(long asOfMillis) implements RouterInput {}
 
+    /** Carries a new measurement of the load of the VM that the router runs on. */
+    record LoadMeasured(VmLoad load) implements RouterInput {}
+
     /** Carries the platform's complete list of endpoints. */
     record EndpointsListed(List<EndpointRow> endpoints) implements RouterInput {
 
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -1,6 +1,5 @@
 package org.bramleylatch.core;
 
-import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -11,8 +10,6 @@
 
 /** Holds the tables of one router, such as its requests, attempts and endpoints. */
 public final class RouterWorld implements World<RouterInput, RouterOutput> {
-    private static final int MAX_RELAYS = 2;
-
     private final Mailbox<RouterInput> inbox = Mailbox.empty();
     private final Mailbox<RouterOutput> outbox = Mailbox.empty();
     private final Table<RequestId, RequestRow> requests = Table.empty();
@@ -46,6 +43,7 @@
     private HolderSelection holders = HolderSelection.none();
     private Optional<Incarnation> localKeeper = Optional.empty();
     private long configurationAsOfMillis;
+    private VmLoad load = VmLoad.none();
     private boolean stopping;
     private int routerCount = 1;
     private long nextMoveReportMillis;
@@ -282,6 +280,20 @@
         configurationAsOfMillis = Math.max(configurationAsOfMillis, asOfMillis);
     }
 
+    /** Returns the load of the VM that the router runs on. */
+    public VmLoad load() {
+        return load;
+    }
+
+    /** Returns the number of known VMs of this router's zone. */
+    public long countVmsOfZone() {
+        return vms.rows().filter(vm -> vm.zone().equals(zone)).count();
+    }
+
+    void setLoad(VmLoad measured) {
+        load = measured;
+    }
+
     long nextMoveReportMillis() {
         return nextMoveReportMillis;
     }
@@ -365,28 +377,10 @@
     /** Tells all other routers, through the keepers that they are connected to. */
     void report(RouterReport report) {
         KeeperInput message = new KeeperInput.RouterReported(report);
-        relays().stream()
-                .map(keeper -> new RouterOutput.ToKeeper(keeper, message))
-                .forEach(this::send);
-    }
-
-    /**
-     * Returns the local keeper if all other routers connect to it. Otherwise two holders of the
-     * zone, as one may be about to end; without VMs that announced themselves, all keepers.
-     */
-    private Collection<Incarnation> relays() {
-        if (holders.isEmpty()) {
-            return localKeeper.map(Set::of).orElse(keepers);
-        }
-        return localKeeper
-                .filter(keeper -> holders.contains(keeper.vm()))
-                .map(List::of)
-                .orElseGet(
-                        () ->
-                                new HolderOrder(this)
-                                        .inZone(self.stableName()).stream()
-                                                .limit(MAX_RELAYS)
-                                                .toList());
+        new ReportRelays(this)
+                .choose().stream()
+                        .map(keeper -> new RouterOutput.ToKeeper(keeper, message))
+                        .forEach(this::send);
     }
 
     void send(RouterOutput message) {
