Judge endpoints and links by time-outs only if this VM kept up

Cause: a connection that timed out ejected its endpoint and put the link in doubt, whether or not this VM could have read the answer in time. Refused connections and time-outs had one cause, NOT_CONNECTED.

Change: a time-out counts only if the VM kept up since the wait began (TimeoutEvidence; LatenessSystem keeps when the load was last excessive). Otherwise the attempt is retried elsewhere as before, and the endpoint, its link and the move of its version are left alone; ATTEMPT_FAILED says counted=false and the load. Refused and reset connections count as before. What is really gone is found by peers, whose failure to connect ejects the endpoint, and by a bound: a link that fails for 5 s without an answer in between counts.

--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -37,7 +37,7 @@
         new EndpointProbes(world, nowMillis).recordAnswer(row.endpoint());
         if (row.firstTokenLatencyMillis().isEmpty()) {
             recordStart(row);
-            row.via().ifPresent(new EndpointPaths(world, nowMillis)::recordPeerSuccess);
+            recordPathSuccess(row);
         }
         if (row.unprocessedPromptTokens() > 0) {
             world.endpoints()
@@ -98,7 +98,7 @@
         }
         countForMove(attempt.get(), answered.status() < FIRST_SERVER_ERROR_STATUS);
         recordStart(attempt.get());
-        attempt.get().via().ifPresent(new EndpointPaths(world, nowMillis)::recordPeerSuccess);
+        recordPathSuccess(attempt.get());
         new EndpointProbes(world, nowMillis).recordAnswer(attempt.get().endpoint());
         world.endpoints()
                 .update(
@@ -125,13 +125,16 @@
         }
         world.send(new RouterOutput.CancelAttempt(failed.attempt()));
         EndpointId endpoint = attempt.get().endpoint();
-        recordPath(attempt.get(), failed);
-        countForMove(attempt.get(), false);
+        boolean counts = countsAgainstEndpoint(attempt.get(), failed);
+        recordPathFailure(attempt.get(), failed, counts);
+        if (counts) {
+            countForMove(attempt.get(), false);
+        }
         if (isSignOfOverload(attempt.get(), failed)) {
             world.endpoints().update(attempt.get().endpoint(), row -> row.overloaded(nowMillis));
         }
         new CrashDetection(world, nowMillis).recordBrokenAttempt(attempt.get(), failed);
-        if (failed.cause() != AttemptFailed.Cause.PATH_FAILED) {
+        if (counts && failed.cause() != AttemptFailed.Cause.PATH_FAILED) {
             world.endpoints()
                     .update(
                             endpoint,
@@ -143,7 +146,11 @@
         world.note(
                 EventKind.ATTEMPT_FAILED,
                 failed.attempt(),
-                endpoint + " " + failed.detail() + describeProgress(attempt.get()));
+                endpoint
+                        + " "
+                        + failed.detail()
+                        + describeProgress(attempt.get())
+                        + (counts ? "" : " counted=false " + world.load()));
         world.requests()
                 .find(attempt.get().request())
                 .map(row -> row.waitingSince(Optional.of(row.waitingSinceMillis(attempt.get()))))
@@ -151,13 +158,27 @@
         return true;
     }
 
+    /** Returns false if this VM's own lateness may be the cause. */
+    private boolean countsAgainstEndpoint(AttemptRow attempt, AttemptFailed failed) {
+        return !failed.timedOut()
+                || new TimeoutEvidence(world, nowMillis).counts(attempt.lastProgressMillis());
+    }
+
+    private void recordPathSuccess(AttemptRow attempt) {
+        EndpointPaths paths = new EndpointPaths(world, nowMillis);
+        attempt.via()
+                .ifPresentOrElse(
+                        paths::recordPeerSuccess,
+                        () -> paths.recordDirectAnswer(attempt.endpoint()));
+    }
+
     /** Records what the failed connection shows of the path that the attempt took. */
-    private void recordPath(AttemptRow attempt, AttemptFailed failed) {
+    private void recordPathFailure(AttemptRow attempt, AttemptFailed failed, boolean counts) {
         EndpointPaths paths = new EndpointPaths(world, nowMillis);
         if (failed.cause() == AttemptFailed.Cause.PATH_FAILED) {
             attempt.via().ifPresent(paths::recordPeerFailure);
         } else if (!failed.connected() && attempt.via().isEmpty()) {
-            paths.recordDirectFailure(attempt.endpoint());
+            paths.recordDirectFailure(attempt.endpoint(), counts);
         }
     }
 
--- a/core/src/main/java/org/bramleylatch/core/EndpointPaths.java
+++ b/core/src/main/java/org/bramleylatch/core/EndpointPaths.java
@@ -11,8 +11,9 @@
  * nothing.
  *
  * <p>After a failed connection, peers are asked to connect to the endpoint. If one does, the direct
- * path is down. Once several paths went down in a row, this VM is cut off, and what it has not
- * tried yet is taken to be out of reach as well, until one direct connection succeeds.
+ * path is down, unless this VM may only have been late. If none does, the endpoint is at fault.
+ * Once several paths went down in a row, this VM is cut off, and what it has not tried yet is taken
+ * to be out of reach as well, until one direct connection succeeds.
  */
 record EndpointPaths(RouterWorld world, long nowMillis) {
     /** Bounds how long a path is taken to be down that is sound again. */
@@ -61,13 +62,22 @@
         return link.isDown() && link.sinceMillis() > paths().directContactMillis();
     }
 
-    /** Suspects the direct path to an endpoint, and asks peers whether they reach the endpoint. */
-    void recordDirectFailure(EndpointId endpoint) {
-        LinkRow row =
+    /**
+     * Suspects the direct path to an endpoint, and asks peers whether they reach the endpoint.
+     *
+     * @param counts false if this VM's own lateness may be the cause
+     */
+    void recordDirectFailure(EndpointId endpoint, boolean counts) {
+        LinkRow failed =
                 paths().links()
                         .find(endpoint)
                         .map(link -> link.failedAgain(nowMillis))
                         .orElseGet(() -> LinkRow.suspected(endpoint, nowMillis));
+        boolean countsNow =
+                counts
+                        || new TimeoutEvidence(world, nowMillis)
+                                .exceedsLateness(failed.sinceMillis());
+        LinkRow row = countsNow ? failed.counted() : failed;
         paths().links().put(endpoint, row);
         if (!row.isDown() && nowMillis - row.askedMillis() >= CHECK_INTERVAL_MILLIS) {
             askPeers(row, ASKED_PEERS);
@@ -89,6 +99,14 @@
                 });
     }
 
+    /** Records an answer over a direct connection: time-outs before it came from own lateness. */
+    void recordDirectAnswer(EndpointId endpoint) {
+        paths().links()
+                .find(endpoint)
+                .filter(link -> !link.isCounted())
+                .ifPresent(link -> paths().links().remove(endpoint));
+    }
+
     /** Applies what a peer said of an endpoint; returns true if the peer reached it. */
     boolean applyProbe(PathProbed probed) {
         boolean connected = probed.outcome() == PathProbed.Outcome.CONNECTED;
@@ -96,10 +114,12 @@
             recordPeerSuccess(probed.peer());
             paths().links()
                     .find(probed.endpoint())
-                    .filter(link -> !link.isDown())
+                    .filter(link -> link.isCounted() && !link.isDown())
                     .ifPresent(link -> markDown(link, probed.peer()));
         } else if (probed.outcome() == PathProbed.Outcome.PEER_FAILED) {
             recordPeerFailure(probed.peer());
+        } else {
+            confirmFailure(probed.endpoint());
         }
         return connected;
     }
@@ -166,6 +186,16 @@
         }
     }
 
+    /** Ejects an endpoint that a peer does not reach either, if this VM could not judge it. */
+    private void confirmFailure(EndpointId endpoint) {
+        paths().links()
+                .find(endpoint)
+                .filter(link -> !link.isCounted())
+                .flatMap(link -> world.endpoints().find(endpoint))
+                .filter(row -> nowMillis >= row.health().ejectedUntilMillis())
+                .ifPresent(row -> world.endpoints().put(endpoint, row.connectionFailed(nowMillis)));
+    }
+
     /** Asks the next few peers in an order that differs for each endpoint and time. */
     private void askPeers(LinkRow link, int count) {
         paths().links().put(link.endpoint(), link.asked(nowMillis));
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -143,6 +143,8 @@
         public enum Cause {
             /** No connection could be established. */
             NOT_CONNECTED,
+            /** No direct connection was established within the timeout. */
+            CONNECT_TIMED_OUT,
             /** The peer that was to carry the connection could not be used. */
             PATH_FAILED,
             /** The endpoint closed or reset the connection before the answer was complete. */
@@ -158,9 +160,16 @@
             this(attempt, runState, detail, Cause.OTHER);
         }
 
+        /** Returns true if nothing but the time that passed shows the failure. */
+        public boolean timedOut() {
+            return cause == Cause.CONNECT_TIMED_OUT;
+        }
+
         /** Returns true if a connection to the endpoint was established. */
         public boolean connected() {
-            return cause != Cause.NOT_CONNECTED && cause != Cause.PATH_FAILED;
+            return cause != Cause.NOT_CONNECTED
+                    && cause != Cause.CONNECT_TIMED_OUT
+                    && cause != Cause.PATH_FAILED;
         }
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RouterSystems.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterSystems.java
@@ -16,6 +16,7 @@
             Placement placement, RouterLimits limits, FailureHandler failures) {
         return Schedule.of(
                 failures,
+                new LatenessSystem(),
                 new RouterInboxSystem(limits, failures),
                 new RouterTimerSystem(limits, failures),
                 new WithdrawalSystem(),
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -30,6 +30,7 @@
     private final Table<EndpointId, Long> endpointPauses = Table.empty();
     private final Table<AttemptId, SilenceRow> silences = Table.empty();
     private final PathTables paths = new PathTables();
+    private final LatenessTables lateness = new LatenessTables();
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
@@ -237,6 +238,11 @@
         return silences;
     }
 
+    /** Returns what is known about whether this VM kept up. */
+    LatenessTables lateness() {
+        return lateness;
+    }
+
     /** Returns what is known about the paths to endpoints. */
     PathTables paths() {
         return paths;
--- a/core/src/main/java/org/bramleylatch/core/SilenceDetection.java
+++ b/core/src/main/java/org/bramleylatch/core/SilenceDetection.java
@@ -48,7 +48,7 @@
         CrashDetection crashes = new CrashDetection(world, nowMillis);
         crashes.applyProbe(probed, sentMillis);
         probes.recordOutcome(probed);
-        recordPath(probed);
+        recordPath(probed, sentMillis);
         if (crashes.isUnconfirmed(endpoint)) {
             probes.probe(endpoint);
         } else if (probed.outcome() == Outcome.UNREACHABLE
@@ -82,12 +82,15 @@
                 .isPresent();
     }
 
-    private void recordPath(EndpointProbed probed) {
+    private void recordPath(EndpointProbed probed, long sentMillis) {
         EndpointPaths paths = new EndpointPaths(world, nowMillis);
         if (probed.outcome() == Outcome.CONNECTED) {
             paths.recordDirectContact(probed.endpoint());
         } else if (probed.outcome() != Outcome.NOT_TRIED) {
-            paths.recordDirectFailure(probed.endpoint());
+            boolean counts =
+                    probed.outcome() == Outcome.REFUSED
+                            || new TimeoutEvidence(world, nowMillis).counts(sentMillis);
+            paths.recordDirectFailure(probed.endpoint(), counts);
         }
     }
 
--- a/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/EndpointClient.java
@@ -1,5 +1,6 @@
 package org.bramleylatch.gateway;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -148,11 +150,24 @@
     }
 
     private static void reportNotConnected(Sending sending, Throwable failure) {
-        boolean isPathAtFault =
+        Cause cause =
                 sending.proxy().isPresent()
-                        && PeerPaths.outcomeOf(failure) == PathProbed.Outcome.PEER_FAILED;
-        sending.call()
-                .connectionFailed(failure, isPathAtFault ? Cause.PATH_FAILED : Cause.NOT_CONNECTED);
+                        ? causeThroughPeer(failure)
+                        : causeOfDirectFailure(failure);
+        sending.call().connectionFailed(failure, cause);
+    }
+
+    private static Cause causeThroughPeer(Throwable failure) {
+        return PeerPaths.outcomeOf(failure) == PathProbed.Outcome.PEER_FAILED
+                ? Cause.PATH_FAILED
+                : Cause.NOT_CONNECTED;
+    }
+
+    /** Tells a connection that timed out, perhaps as this VM is late, from one that was refused. */
+    static Cause causeOfDirectFailure(Throwable failure) {
+        boolean timedOut =
+                failure instanceof ConnectTimeoutException || failure instanceof TimeoutException;
+        return timedOut ? Cause.CONNECT_TIMED_OUT : Cause.NOT_CONNECTED;
     }
 
     private EndpointCall newCall(
