Hold no silence against an endpoint that this VM was too late to hear

Seen by callers: answers of sound endpoints that are cut off and run again, and refusals as the endpoints seem to be full or gone.

Cause: a silence that is noticed lowers the endpoint's concurrency, one that is given up counts against its health and the move of its version, and a probe that times out ends all silent attempts there, whether or not this VM could have read what came.

Change: these count only if the VM kept up since the silence began, or it has lasted 5 s (TimeoutEvidence). A probe that timed out on a VM that is late counts as not tried. An attempt is still given up at the last moment at which another one can answer in time; a refused probe and a peer's word still end it. Routes that don't wait for silent endpoints have a cause of their own, TIMED_OUT, and the same rule. ATTEMPT_SILENT says counted=false and the load.

--- a/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
+++ b/core/src/main/java/org/bramleylatch/core/AnswerRelay.java
@@ -130,7 +130,7 @@
         if (counts) {
             countForMove(attempt.get(), false);
         }
-        if (isSignOfOverload(attempt.get(), failed)) {
+        if (counts && isSignOfOverload(attempt.get(), failed)) {
             world.endpoints().update(attempt.get().endpoint(), row -> row.overloaded(nowMillis));
         }
         new CrashDetection(world, nowMillis).recordBrokenAttempt(attempt.get(), failed);
@@ -203,7 +203,8 @@
 
     /** Returns true if the endpoint was silent until a timeout or did not run the request. */
     private static boolean isSignOfOverload(AttemptRow attempt, AttemptFailed failed) {
-        return failed.cause() == AttemptFailed.Cause.OTHER
+        boolean isSilent = failed.cause() == AttemptFailed.Cause.TIMED_OUT;
+        return (isSilent || failed.cause() == AttemptFailed.Cause.OTHER)
                 && attempt.firstTokenLatencyMillis().isEmpty()
                 && failed.runState() != RunState.RAN;
     }
--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -151,6 +151,8 @@
             CONNECTION_LOST,
             /** The connection is open but nothing came; counted as overload when noticed. */
             SILENT,
+            /** Nothing came within the timeout of a route that does not wait for longer. */
+            TIMED_OUT,
             /** The connection is not the cause. */
             OTHER
         }
@@ -162,7 +164,9 @@
 
         /** Returns true if nothing but the time that passed shows the failure. */
         public boolean timedOut() {
-            return cause == Cause.CONNECT_TIMED_OUT;
+            return cause == Cause.CONNECT_TIMED_OUT
+                    || cause == Cause.SILENT
+                    || cause == Cause.TIMED_OUT;
         }
 
         /** Returns true if a connection to the endpoint was established. */
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -196,6 +196,7 @@
                         new RouterInput.AttemptFailed(
                                 row.id(),
                                 RunState.UNKNOWN,
-                                "no data from the endpoint within the timeout"));
+                                "no data from the endpoint within the timeout",
+                                RouterInput.AttemptFailed.Cause.TIMED_OUT));
     }
 }
--- a/core/src/main/java/org/bramleylatch/core/SilenceDetection.java
+++ b/core/src/main/java/org/bramleylatch/core/SilenceDetection.java
@@ -41,13 +41,21 @@
         long sentMillis = before.map(EndpointContact::probedMillis).orElse(nowMillis);
         long unreachableMillis = before.map(EndpointContact::unreachableMillis).orElse(0L);
         for (AttemptRow attempt : silentAttempts(endpoint, sentMillis)) {
-            if (attempt.via().isEmpty() && showsDeath(probed, unreachableMillis, attempt)) {
+            boolean counts =
+                    countsFor(probed, sentMillis)
+                            || evidence().counts(attempt.lastProgressMillis());
+            if (counts
+                    && attempt.via().isEmpty()
+                    && showsDeath(probed, unreachableMillis, attempt)) {
                 failDead(attempt, probed);
             }
         }
         CrashDetection crashes = new CrashDetection(world, nowMillis);
         crashes.applyProbe(probed, sentMillis);
-        probes.recordOutcome(probed);
+        probes.recordOutcome(
+                countsFor(probed, sentMillis)
+                        ? probed
+                        : new EndpointProbed(endpoint, Outcome.NOT_TRIED, probed.detail()));
         recordPath(probed, sentMillis);
         if (crashes.isUnconfirmed(endpoint)) {
             probes.probe(endpoint);
@@ -65,6 +73,10 @@
             silentAttempts(probed.endpoint(), nowMillis).stream()
                     .filter(row -> row.via().filter(probed.peer()::equals).isPresent())
                     .filter(row -> isNoticed(row))
+                    .filter(
+                            row ->
+                                    probed.outcome() == PathProbed.Outcome.ENDPOINT_FAILED
+                                            || evidence().counts(row.lastProgressMillis()))
                     .forEach(
                             row ->
                                     fail(
@@ -87,13 +99,19 @@
         if (probed.outcome() == Outcome.CONNECTED) {
             paths.recordDirectContact(probed.endpoint());
         } else if (probed.outcome() != Outcome.NOT_TRIED) {
-            boolean counts =
-                    probed.outcome() == Outcome.REFUSED
-                            || new TimeoutEvidence(world, nowMillis).counts(sentMillis);
-            paths.recordDirectFailure(probed.endpoint(), counts);
+            paths.recordDirectFailure(probed.endpoint(), countsFor(probed, sentMillis));
         }
     }
 
+    private TimeoutEvidence evidence() {
+        return new TimeoutEvidence(world, nowMillis);
+    }
+
+    /** Returns false if the probe timed out and this VM's own lateness may be the cause. */
+    private boolean countsFor(EndpointProbed probed, long sentMillis) {
+        return probed.outcome() != Outcome.UNREACHABLE || evidence().counts(sentMillis);
+    }
+
     /**
      * Returns true if the probe leaves the attempt no hope. An endpoint that is leaving may close
      * its port before it has finished its requests. A path that is gone may come back, so an
@@ -179,7 +197,8 @@
         if (same.isEmpty()) {
             note(attempt, limit, probe, request);
         }
-        if (known.isEmpty() && attempt.firstTokenLatencyMillis().isEmpty()) {
+        boolean counts = evidence().counts(attempt.lastProgressMillis());
+        if (counts && known.isEmpty() && attempt.firstTokenLatencyMillis().isEmpty()) {
             world.endpoints().update(attempt.endpoint(), row -> row.overloaded(nowMillis));
         }
     }
@@ -211,6 +230,9 @@
                         + (limit.retryMillis() - nowMillis)
                         + " callerLeavesInMillis="
                         + (limit.endMillis() - nowMillis)
+                        + (evidence().counts(attempt.lastProgressMillis())
+                                ? ""
+                                : " counted=false " + world.load())
                         + " key="
                         + request.spec().key());
     }
--- a/core/src/test/java/org/bramleylatch/core/SilentEndpointTest.java
+++ b/core/src/test/java/org/bramleylatch/core/SilentEndpointTest.java
@@ -17,6 +17,7 @@
     private static final long SILENCE_MILLIS = 1_400;
     private static final long TIMEOUT_MILLIS = 10_000;
     private static final long PATIENCE_MILLIS = 2_000;
+    private static final VmLoad LATE = new VmLoad(0, 0, 250);
     private static final RouteRow STREAM = route(RouteKind.CHAT, "seilhelfer", true);
     private static final RouteRow SAFE = route(RouteKind.SERVICE, "ordnerei", true);
     private static final RouteRow UNSAFE = route(RouteKind.SERVICE, "ordnerei", false);
@@ -213,6 +214,57 @@
         assertThat(concurrency("engine-1")).isEqualTo(noticed);
     }
 
+    /** Guards against a VM that is late and lowers the limits of all endpoints that it uses. */
+    @Test
+    void aSilenceThatIsNoticedByAVmThatIsLateDoesNotCountAsOverload() {
+        router.endpoints("engine-1");
+        router.receive(new RouterInput.LoadMeasured(LATE));
+        start(STREAM, TIMEOUT_MILLIS);
+        pass(SILENCE_MILLIS);
+        assertThat(concurrency("engine-1")).isEqualTo(ConcurrencyLimit.unlimited());
+    }
+
+    /** Guards against a VM that is late and ejects the endpoints whose answers it has not read. */
+    @Test
+    void anAttemptThatIsGivenUpByAVmThatIsLateIsNotHeldAgainstItsEndpoint() {
+        router.endpoints("engine-1", "engine-2");
+        router.receive(new RouterInput.LoadMeasured(LATE));
+        start(STREAM, TIMEOUT_MILLIS);
+        pass(PATIENCE_MILLIS - 400);
+        assertThat(router.outputs(StartAttempt.class)).hasSize(2);
+        assertThat(router.world.endpoints().rows())
+                .allMatch(row -> row.health().equals(EndpointHealth.healthy()));
+    }
+
+    /** Guards against answers that a VM which is late cuts off as its own probe timed out. */
+    @Test
+    void aProbeThatTimesOutOnAVmThatIsLateEndsNoAttempt() {
+        router.endpoints("engine-1", "engine-2");
+        router.receive(new RouterInput.LoadMeasured(LATE));
+        AttemptId attempt = start(STREAM, TIMEOUT_MILLIS);
+        EndpointId endpoint = router.lastOutput(StartAttempt.class).orElseThrow().endpoint();
+        pass(SILENCE_MILLIS);
+        router.receive(
+                new RouterInput.EndpointProbed(
+                        endpoint, RouterInput.EndpointProbed.Outcome.UNREACHABLE, "timed out"));
+        assertCompletes(attempt);
+    }
+
+    @Test
+    void aProbeThatIsRefusedEndsTheAttemptsOfAVmThatIsLate() {
+        router.endpoints("engine-1", "engine-2");
+        router.receive(new RouterInput.LoadMeasured(LATE));
+        start(STREAM, TIMEOUT_MILLIS);
+        EndpointId endpoint = router.lastOutput(StartAttempt.class).orElseThrow().endpoint();
+        pass(SILENCE_MILLIS);
+        router.receive(
+                new RouterInput.EndpointProbed(
+                        endpoint, RouterInput.EndpointProbed.Outcome.REFUSED, "refused"));
+        assertThat(router.outputs(StartAttempt.class)).hasSize(2);
+        assertThat(router.world.endpoints().find(endpoint).orElseThrow().health())
+                .isNotEqualTo(EndpointHealth.healthy());
+    }
+
     @Test
     void theLogTellsWhenASilenceWasNoticedAndWhatWasDone() {
         router.endpoints("engine-1");
