Wait for a holder while this VM is late instead of taking it for silent

Seen by callers: BUDGET_UNAVAILABLE, and requests that wait for tokens until their callers leave.

Cause: a reservation that is not answered within the time-out makes its holder silent for 2 s, and the next one is asked, whose answer is handled as late. Each question and each answer adds to the queue that they wait in.

Change: a holder that this VM was too late to hear is neither silent nor asked again; its answer is waited for, for 5 s at most from the first such time-out, unless its connection breaks. Any answer of it ends that. KEEPER_AWAITED says it once, with the load.

HolderOrderTest: aHolderIsNotTakenForSilentByAVmThatWasLateWhileItWaited failed before and passes. aVmThatIsLateForLongStillFindsAHolderThatDoesNotAnswer tests the bound; it failed before as well, since the holder was asked again after each 2 s.

--- a/core/src/main/java/org/bramleylatch/core/Admission.java
+++ b/core/src/main/java/org/bramleylatch/core/Admission.java
@@ -126,6 +126,7 @@
     }
 
     private void markAnswering(Incarnation keeper) {
+        world.lateness().awaitedKeepers().remove(keeper);
         if (world.silentKeepers().remove(keeper)) {
             world.timers().clear(new RouterTimer.KeeperRetrial(keeper));
         }
--- a/core/src/main/java/org/bramleylatch/core/EventKind.java
+++ b/core/src/main/java/org/bramleylatch/core/EventKind.java
@@ -65,6 +65,8 @@
     KEEPER_LOST,
     /** A keeper left a reservation without an answer; others are asked for a while. */
     KEEPER_SILENT,
+    /** A keeper left a reservation without an answer on a VM that is late; it is waited for. */
+    KEEPER_AWAITED,
     /** The log came back from a copy; a keeper reads it from its beginning. */
     ERA_BEGAN,
     /** A keeper proposed to freeze all or part of the grants of its earlier incarnation. */
--- a/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
+++ b/core/src/main/java/org/bramleylatch/core/FleetUpdates.java
@@ -101,6 +101,7 @@
     boolean removeKeeper(KeeperDown down) {
         world.keepers().remove(down.keeper());
         world.silentKeepers().remove(down.keeper());
+        world.lateness().awaitedKeepers().remove(down.keeper());
         world.note(EventKind.KEEPER_LOST, down.keeper(), "keepers=" + world.keepers().size());
         world.settlements()
                 .where(row -> row.keeper().filter(down.keeper()::equals).isPresent())
--- a/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterTimerSystem.java
@@ -103,15 +103,63 @@
                         .requests()
                         .find(due.request())
                         .filter(found -> found.stage() == Stage.RESERVING);
-        row.flatMap(RequestRow::keeper)
-                .ifPresent(keeper -> markSilent(tick.world(), keeper, tick.nowMillis()));
-        row.ifPresent(found -> askAnotherKeeper(tick, found));
+        row.ifPresent(found -> expireReserve(tick, found));
         return row.isPresent();
     }
 
+    private static void expireReserve(RouterTick tick, RequestRow row) {
+        row.keeper()
+                .filter(tick.world().keepers()::contains)
+                .filter(keeper -> mayHaveAnswered(tick, row, keeper))
+                .ifPresentOrElse(
+                        keeper -> await(tick, row, keeper), () -> passOverKeeper(tick, row));
+    }
+
+    /** Returns true if this VM was late while it waited, and has not been for too long. */
+    private static boolean mayHaveAnswered(RouterTick tick, RequestRow row, Incarnation keeper) {
+        TimeoutEvidence evidence = new TimeoutEvidence(tick.world(), tick.nowMillis());
+        return !evidence.counts(tick.nowMillis() - reserveWaitMillis(tick, row))
+                && tick.world()
+                        .lateness()
+                        .awaitedKeepers()
+                        .find(keeper)
+                        .filter(evidence::exceedsLateness)
+                        .isEmpty();
+    }
+
+    /** Waits for the answer again; another question would only add to the queue before it. */
+    private static void await(RouterTick tick, RequestRow row, Incarnation keeper) {
+        RouterWorld world = tick.world();
+        if (!world.lateness().awaitedKeepers().has(keeper)) {
+            world.lateness().awaitedKeepers().put(keeper, tick.nowMillis());
+            world.note(EventKind.KEEPER_AWAITED, keeper, world.load().toString());
+        }
+        setReserveTimeout(tick, row);
+    }
+
+    private static void passOverKeeper(RouterTick tick, RequestRow row) {
+        row.keeper().ifPresent(keeper -> markSilent(tick.world(), keeper, tick.nowMillis()));
+        askAnotherKeeper(tick, row);
+    }
+
+    private static long reserveWaitMillis(RouterTick tick, RequestRow row) {
+        return tick.world().remainingLenders().has(row.spec().id())
+                ? tick.limits().lenderTimeoutMillis()
+                : tick.limits().reserveTimeoutMillis();
+    }
+
+    private static void setReserveTimeout(RouterTick tick, RequestRow row) {
+        tick.world()
+                .timers()
+                .set(
+                        new ReserveTimeout(row.spec().id()),
+                        tick.nowMillis() + reserveWaitMillis(tick, row));
+    }
+
     /** Lets other keepers be asked for a while; the connection may be sound and the keeper slow. */
     private static void markSilent(RouterWorld world, Incarnation keeper, long nowMillis) {
         boolean isLocal = world.localKeeper().filter(keeper::equals).isPresent();
+        world.lateness().awaitedKeepers().remove(keeper);
         if (!isLocal && world.keepers().contains(keeper) && world.silentKeepers().add(keeper)) {
             world.timers()
                     .set(new RouterTimer.KeeperRetrial(keeper), nowMillis + KEEPER_RETRIAL_MILLIS);
@@ -127,11 +175,7 @@
         if (tick.world().remainingLenders().has(id)) {
             Borrowing.askNextLender(tick.world(), row, List.of(), tick.limits(), tick.nowMillis());
         } else {
-            tick.world()
-                    .timers()
-                    .set(
-                            new ReserveTimeout(id),
-                            tick.nowMillis() + tick.limits().reserveTimeoutMillis());
+            setReserveTimeout(tick, row);
             Admission.askKeeper(tick.world(), row);
         }
     }
--- a/core/src/test/java/org/bramleylatch/core/HolderOrderTest.java
+++ b/core/src/test/java/org/bramleylatch/core/HolderOrderTest.java
@@ -57,6 +57,36 @@
         assertThat(firstHolder()).isEqualTo(first);
     }
 
+    /** Guards against a VM that is late and takes all holders of its zone for silent (SHORT). */
+    @Test
+    void aHolderIsNotTakenForSilentByAVmThatWasLateWhileItWaited() {
+        Incarnation first = firstHolder();
+        router.receive(new RouterInput.LoadMeasured(new VmLoad(0, 0, 250)));
+        RequestKey key = router.arrive(RouterHarness.CHAT, 100, 50);
+        router.advance(LIMITS.reserveTimeoutMillis());
+        assertThat(firstHolder()).isEqualTo(first);
+        assertThat(router.messagesToKeepers(KeeperInput.ReserveAsked.class)).hasSize(1);
+        router.endpoints("seilhelfer-1");
+        router.receive(granted(first, key));
+        assertThat(router.outputs(RouterOutput.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void aVmThatIsLateForLongStillFindsAHolderThatDoesNotAnswer() {
+        Incarnation first = firstHolder();
+        router.receive(new RouterInput.LoadMeasured(new VmLoad(0, 0, 250)));
+        router.arrive(RouterHarness.CHAT, 100, 50);
+        long timeoutMillis = LIMITS.reserveTimeoutMillis();
+        for (long passedMillis = 0;
+                passedMillis <= TimeoutEvidence.MAX_VOID_MILLIS;
+                passedMillis += timeoutMillis) {
+            router.advance(timeoutMillis);
+        }
+        router.advance(timeoutMillis);
+        assertThat(firstHolder()).isNotEqualTo(first);
+        assertThat(lastAsk().keeper()).isNotEqualTo(first);
+    }
+
     /**
      * Guards against requests on a VM that is late by more than the timeout: each holder's answer
      * came after the next one was asked, and was given back until the caller left.
