--- a/core/src/main/java/org/bramleylatch/core/RouterInput.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterInput.java
@@ -143,12 +143,16 @@
         public enum Cause {
             /** No connection could be established. */
             NOT_CONNECTED,
+            /** No direct connection was established within the timeout. */
+            CONNECT_TIMED_OUT,
             /** The peer that was to carry the connection could not be used. */
             PATH_FAILED,
             /** The endpoint closed or reset the connection before the answer was complete. */
             CONNECTION_LOST,
             /** The connection is open but nothing came; counted as overload when noticed. */
             SILENT,
+            /** Nothing came within the timeout of a route that does not wait for longer. */
+            TIMED_OUT,
             /** The connection is not the cause. */
             OTHER
         }
@@ -158,9 +162,18 @@
             this(attempt, runState, detail, Cause.OTHER);
         }
 
+        /** Returns true if nothing but the time that passed shows the failure. */
+        public boolean timedOut() {
+            return cause == Cause.CONNECT_TIMED_OUT
+                    || cause == Cause.SILENT
+                    || cause == Cause.TIMED_OUT;
+        }
+
         /** Returns true if a connection to the endpoint was established. */
         public boolean connected() {
-            return cause != Cause.NOT_CONNECTED && cause != Cause.PATH_FAILED;
+            return cause != Cause.NOT_CONNECTED
+                    && cause != Cause.CONNECT_TIMED_OUT
+                    && cause != Cause.PATH_FAILED;
         }
     }
 
--- a/core/src/main/java/org/bramleylatch/core/RouterWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/RouterWorld.java
@@ -1,6 +1,5 @@
 package org.bramleylatch.core;
 
-import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -11,8 +10,6 @@
 
 /** Holds the tables of one router, such as its requests, attempts and endpoints. */
 public final class RouterWorld implements World<RouterInput, RouterOutput> {
-    private static final int MAX_RELAYS = 2;
-
     private final Mailbox<RouterInput> inbox = Mailbox.empty();
     private final Mailbox<RouterOutput> outbox = Mailbox.empty();
     private final Table<RequestId, RequestRow> requests = Table.empty();
@@ -33,6 +30,7 @@
     private final Table<EndpointId, Long> endpointPauses = Table.empty();
     private final Table<AttemptId, SilenceRow> silences = Table.empty();
     private final PathTables paths = new PathTables();
+    private final LatenessTables lateness = new LatenessTables();
     private final CrashTables crashTables = new CrashTables();
     private final Set<RequestId> queuedRequests = new LinkedHashSet<>();
     private final Set<Incarnation> keepers = new LinkedHashSet<>();
@@ -240,6 +238,11 @@
         return silences;
     }
 
+    /** Returns what is known about whether this VM kept up. */
+    LatenessTables lateness() {
+        return lateness;
+    }
+
     /** Returns what is known about the paths to endpoints. */
     PathTables paths() {
         return paths;
@@ -380,28 +383,10 @@
     /** Tells all other routers, through the keepers that they are connected to. */
     void report(RouterReport report) {
         KeeperInput message = new KeeperInput.RouterReported(report);
-        relays().stream()
-                .map(keeper -> new RouterOutput.ToKeeper(keeper, message))
-                .forEach(this::send);
-    }
-
-    /**
-     * Returns the local keeper if all other routers connect to it. Otherwise two holders of the
-     * zone, as one may be about to end; without VMs that announced themselves, all keepers.
-     */
-    private Collection<Incarnation> relays() {
-        if (holders.isEmpty()) {
-            return localKeeper.map(Set::of).orElse(keepers);
-        }
-        return localKeeper
-                .filter(keeper -> holders.contains(keeper.vm()))
-                .map(List::of)
-                .orElseGet(
-                        () ->
-                                new HolderOrder(this)
-                                        .inZone(self.stableName()).stream()
-                                                .limit(MAX_RELAYS)
-                                                .toList());
+        new ReportRelays(this)
+                .choose().stream()
+                        .map(keeper -> new RouterOutput.ToKeeper(keeper, message))
+                        .forEach(this::send);
     }
 
     void send(RouterOutput message) {
