--- a/gateway/src/main/java/org/bramleylatch/gateway/LoadMonitoring.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LoadMonitoring.java
@@ -12,7 +12,10 @@
 import org.bramleylatch.edge.LoopLag;
 import org.bramleylatch.platform.BootFile;
 
-/** Measures the load of the VM, and passes it to the router, the logs and the shedding of load. */
+/**
+ * Measures the load of the VM, and passes it to the logs and the shedding of load, and to the
+ * router while it is or was excessive.
+ */
 final class LoadMonitoring {
     private final RouterWorld world;
     private final Consumer<RouterInput> routerInbox;
@@ -70,7 +73,8 @@
 
     private void apply(VmLoad load) {
         shedding.accept(load);
-        if (!load.equals(world.load())) {
+        boolean isNews = load.isExcessive() || world.load().isExcessive();
+        if (isNews && !load.equals(world.load())) {
             routerInbox.accept(new RouterInput.LoadMeasured(load));
         }
     }
