--- a/core/src/main/java/org/bramleylatch/core/Rotation.java
+++ b/core/src/main/java/org/bramleylatch/core/Rotation.java
@@ -24,6 +24,11 @@
         return new Rotation(true, OptionalLong.empty());
     }
 
+    /** Returns true if the VM is about to leave or to return. */
+    public boolean isChanging() {
+        return changingSinceMillis.isPresent();
+    }
+
     /**
      * Returns the state after a measurement. A VM that is late with few requests stays in: the
      * cause lies elsewhere, and may act on all VMs at once.
--- a/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
@@ -72,8 +72,14 @@
                         load, takenOnPerSecond, refused > 0, vmsOfZone.getAsLong(), nowMillis);
         takenOn = 0;
         refused = 0;
+        if (rotation.isIn() && rotation.isChanging()) {
+            limit =
+                    limit.or(
+                            () -> Optional.of(RequestRateLimit.below(takenOnPerSecond, nowMillis)));
+        }
         if (wasIn && !rotation.isIn()) {
-            leave(load, nowMillis);
+            leftMillis = nowMillis;
+            note(EventKind.ROTATION_LEFT, load);
         } else if (!wasIn && rotation.isIn()) {
             note(EventKind.ROTATION_JOINED, load);
         }
@@ -101,14 +107,9 @@
         return Optional.empty();
     }
 
-    private void leave(VmLoad load, long nowMillis) {
-        leftMillis = nowMillis;
-        limit = limit.or(() -> Optional.of(RequestRateLimit.below(takenOnPerSecond, nowMillis)));
-        note(EventKind.ROTATION_LEFT, load);
-    }
-
     private long retryMillis(long nowMillis) {
-        long untilMovedMillis = Math.max(0, leftMillis + MOVE_MILLIS - nowMillis);
+        long sinceLeftMillis = rotation.isIn() ? 0 : nowMillis - leftMillis;
+        long untilMovedMillis = Math.max(0, MOVE_MILLIS - sinceLeftMillis);
         return RECONNECT_MILLIS
                 + untilMovedMillis
                 + refusedInAll * SPREAD_STEP_MILLIS % SPREAD_MILLIS;
