--- a/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperInboxSystem.java
@@ -345,10 +345,22 @@
                 world.note(kind, world.self(), "nextOffset=" + world.ledger().nextOffset());
                 world.grantUses().keys().forEach(world.changedBudgets()::add);
             }
+            if (reported.reachable()) {
+                recordAnswer();
+            }
             world.setLogReachable(reported.reachable());
             return true;
         }
 
+        /** Lets the snapshots that other keepers wrote during an outage be read first. */
+        private void recordAnswer() {
+            long silentMillis = nowMillis - world.logAnsweredMillis();
+            if (!world.isLogReachable() && silentMillis >= limits.snapshotEveryMillis()) {
+                world.setSnapshotMillis(0);
+            }
+            world.setLogAnsweredMillis(nowMillis);
+        }
+
         private boolean beginStop() {
             world.setStopping();
             return true;
--- a/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperWorld.java
@@ -36,6 +36,7 @@
     private long era;
     private long snapshotOffset;
     private long snapshotMillis;
+    private long logAnsweredMillis;
     private boolean logReachable;
     private boolean logLost;
     private boolean caughtUp;
@@ -326,6 +327,15 @@
         snapshotMillis = millis;
     }
 
+    /** Returns when the log last answered a read, in milliseconds since the epoch; 0 at first. */
+    long logAnsweredMillis() {
+        return logAnsweredMillis;
+    }
+
+    void setLogAnsweredMillis(long millis) {
+        logAnsweredMillis = millis;
+    }
+
     long snapshotOffset() {
         return snapshotOffset;
     }
--- a/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
@@ -9,6 +9,9 @@
     private static final int JITTER_STEPS = 1_000;
     private static final double MAX_JITTER = 0.25;
 
+    /** After a longer silence of the log, another keeper may have written a snapshot unnoticed. */
+    private static final long MAX_SILENCE_MILLIS = 1_000;
+
     /** Leaves the snapshots to the holders while there are any. */
     private static final double INACTIVE_FACTOR = 2;
 
@@ -21,13 +24,18 @@
         long dueOffset = world.snapshotOffset() + withJitter(world, limits.snapshotEveryRecords());
         boolean isDue = nowMillis >= dueMillis || world.ledger().nextOffset() >= dueOffset;
         boolean isSettled = world.ledger().statements().isSettled();
-        if (world.isLogReachable() && isSettled && isDue && world.snapshotMillis() > 0) {
+        if (isLogAnswering(world, nowMillis) && isSettled && isDue && world.snapshotMillis() > 0) {
             takeSnapshot(world, nowMillis);
         } else if (world.snapshotMillis() == 0) {
             // Zero at the start and after a snapshot was read: the interval starts at this tick.
             world.setSnapshotMillis(nowMillis);
         }
-        scheduleNext(world);
+        scheduleNext(world, nowMillis);
+    }
+
+    private static boolean isLogAnswering(KeeperWorld world, long nowMillis) {
+        return world.isLogReachable()
+                && nowMillis - world.logAnsweredMillis() <= MAX_SILENCE_MILLIS;
     }
 
     private static void takeSnapshot(KeeperWorld world, long nowMillis) {
@@ -60,10 +68,10 @@
                         + world.ledger().nextOffset());
     }
 
-    private void scheduleNext(KeeperWorld world) {
+    private void scheduleNext(KeeperWorld world, long nowMillis) {
         KeeperTimer timer = new KeeperTimer.SnapshotDue();
         long dueMillis = world.snapshotMillis() + withJitter(world, limits.snapshotEveryMillis());
-        if (world.isLogReachable()) {
+        if (isLogAnswering(world, nowMillis)) {
             world.timers().set(timer, dueMillis);
         } else {
             world.timers().clear(timer);
