--- a/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
+++ b/core/src/main/java/org/bramleylatch/core/KeeperLimits.java
@@ -16,9 +16,8 @@
  * @param maxBatchRecords the maximum number of records in one append; a part of a snapshot counts
  *     as 100 records
  * @param snapshotEveryRecords the number of records after which a snapshot is due; each keeper adds
- *     up to a quarter
- * @param snapshotEveryMillis the time after which a snapshot is due; each keeper adds up to a
- *     quarter
+ *     up to one and a half times as many
+ * @param snapshotEveryMillis the time after which a snapshot is due; each keeper adds up to as much
  * @param demandHalfLifeMillis the half-life of past demand in the forecast of a budget's demand
  * @param spendingLimited true if heartbeats limit what the keeper spends; false if its grants alone
  *     do
--- a/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
+++ b/core/src/main/java/org/bramleylatch/core/SnapshotSystem.java
@@ -7,13 +7,15 @@
  */
 record SnapshotSystem(KeeperLimits limits) implements TickSystem<KeeperWorld> {
     private static final int JITTER_STEPS = 1_000;
-    private static final double MAX_JITTER = 0.25;
+
+    /** Spreads the keepers, so that few write a snapshot before they read that of the first. */
+    private static final double MAX_JITTER = 1.5;
 
     /** After a longer silence of the log, another keeper may have written a snapshot unnoticed. */
     private static final long MAX_SILENCE_MILLIS = 1_000;
 
     /** Leaves the snapshots to the holders while there are any. */
-    private static final double INACTIVE_FACTOR = 2;
+    private static final double INACTIVE_FACTOR = 3;
 
     @Override
     public void run(KeeperWorld world, long nowMillis) {
