--- a/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
+++ b/edge/src/main/java/org/bramleylatch/edge/KeeperConnections.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.net.SocketAddress;
 import io.vertx.grpc.client.GrpcClient;
 import io.vertx.grpc.client.GrpcClientRequest;
@@ -51,8 +52,15 @@
         this.self = self;
         this.hybridClock = hybridClock;
         this.inbox = inbox;
-        this.client =
-                GrpcClient.client(vertx, new HttpClientOptions().setMetricsName(LinkUse.PEERS));
+        this.client = GrpcClient.client(vertx, clientOptions());
+    }
+
+    /** Returns the protocol that gRPC needs without TLS, which the runtime sets by default only. */
+    private static HttpClientOptions clientOptions() {
+        return new HttpClientOptions()
+                .setProtocolVersion(HttpVersion.HTTP_2)
+                .setHttp2ClearTextUpgrade(false)
+                .setMetricsName(LinkUse.PEERS);
     }
 
     /** Connects to the keeper at the address, unless that address was given before. */
