--- a/core/src/main/java/org/bramleylatch/core/Rotation.java
+++ b/core/src/main/java/org/bramleylatch/core/Rotation.java
@@ -16,6 +16,9 @@
     /** Covers two readiness checks, so that new connections have moved before the return. */
     private static final long RETURN_AFTER_MILLIS = 3_000;
 
+    /** Even the smallest VM bears so many, so that one with fewer is late for another reason. */
+    private static final double MIN_REQUESTS_PER_SECOND = 10;
+
     /** In a zone of fewer VMs, the others would have to take on too much each. */
     private static final int MIN_VMS_OF_ZONE = 8;
 
@@ -24,17 +27,12 @@
         return new Rotation(true, OptionalLong.empty());
     }
 
-    /** Returns true if the VM is about to leave or to return. */
-    public boolean isChanging() {
-        return changingSinceMillis.isPresent();
-    }
-
     /**
      * Returns the state after a measurement. A VM that is late with few requests stays in: the
      * cause lies elsewhere, and may act on all VMs at once.
      *
-     * @param requestsPerSecond what the VM has taken on in the last second
-     * @param refuses whether it has refused some beyond that
+     * @param requestsPerSecond what the VM got in the last second
+     * @param refuses whether it has refused some of them
      * @param vmsOfZone the number of known VMs of the zone, this one included
      */
     public Rotation next(
@@ -46,7 +44,7 @@
         if (vmsOfZone < MIN_VMS_OF_ZONE) {
             return initial();
         }
-        boolean isBusy = requestsPerSecond >= RequestRateLimit.MIN_REQUESTS_PER_SECOND;
+        boolean isBusy = requestsPerSecond >= MIN_REQUESTS_PER_SECOND;
         boolean shouldBeIn = !refuses && !(load.isExcessive() && isBusy);
         if (shouldBeIn == isIn) {
             return new Rotation(isIn, OptionalLong.empty());
--- a/core/src/main/java/org/bramleylatch/core/VmLoad.java
+++ b/core/src/main/java/org/bramleylatch/core/VmLoad.java
@@ -24,15 +24,8 @@
 
     /** Returns true if what the VM reads, handles or writes waits for its turn. */
     public boolean isExcessive() {
-        return readPermille >= FULL_LINK_PERMILLE || isBehind();
-    }
-
-    /**
-     * Returns true if the VM can't keep up with the requests that it has taken on. Bytes that
-     * arrive don't tell, as those of requests that it refuses arrive as well.
-     */
-    public boolean isBehind() {
-        return writtenPermille >= FULL_LINK_PERMILLE || loopLateMillis >= LATE_MILLIS;
+        return Math.max(readPermille, writtenPermille) >= FULL_LINK_PERMILLE
+                || loopLateMillis >= LATE_MILLIS;
     }
 
     @Override
--- a/gateway/src/main/java/org/bramleylatch/gateway/LoadMonitoring.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LoadMonitoring.java
@@ -44,7 +44,8 @@
         this.loopLag = new LoopLag(clock, this::measure);
         this.lagMonitor = new LagMonitor(registry, world, events);
         this.linkMonitor = new LinkMonitor(registry, clock, boot.vm(), linkMeter::uses, events);
-        this.shedding = new LoadShedding(clock, boot.vm(), world::countVmsOfZone, events);
+        this.shedding =
+                new LoadShedding(clock, boot.vm(), loopLag::millis, world::countVmsOfZone, events);
         this.meter =
                 new LoadMeter(
                         clock, boot.limits().linkBytesPerSecond(), linkMeter::uses, this::apply);
--- a/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
@@ -6,15 +6,14 @@
 import java.util.function.LongSupplier;
 import org.bramleylatch.core.Event;
 import org.bramleylatch.core.EventKind;
-import org.bramleylatch.core.RequestRateLimit;
 import org.bramleylatch.core.Rotation;
 import org.bramleylatch.core.VmLoad;
 
-/**
- * Applies what {@link Rotation} and {@link RequestRateLimit} decide: readiness, and refusals before
- * a body is read.
- */
+/** Applies what {@link Rotation} decides: readiness, and refusals before a body is read. */
 final class LoadShedding implements Consumer<VmLoad> {
+    /** A call that has waited for longer can hardly be answered in time. */
+    private static final long MAX_LAG_MILLIS = 100;
+
     /** Two readiness checks, after which the platform sends new connections to other VMs. */
     private static final long MOVE_MILLIS = 2_000;
 
@@ -27,31 +26,35 @@
     private static final long MAX_COUNTED_MILLIS = 300;
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** At a higher rate, the limit has no effect any more. */
-    private static final double UNLIMITED_PER_SECOND = 500;
-
     private final InstantSource clock;
     private final String vm;
+    private final LongSupplier lag;
     private final LongSupplier vmsOfZone;
     private final Consumer<Event> events;
     private Rotation rotation = Rotation.initial();
-    private Optional<RequestRateLimit> limit = Optional.empty();
     private long leftMillis;
     private long measuredMillis;
-    private int takenOn;
+    private int arrived;
     private int refused;
     private long refusedInAll;
-    private double takenOnPerSecond;
+    private double requestsPerSecond;
 
     /**
      * Creates the shedding of a VM without load.
      *
+     * @param lag supplies by how many milliseconds the event loop is late now
      * @param vmsOfZone supplies the number of known VMs of the zone
      * @param events receives an event when the VM leaves the rotation and when it returns
      */
-    LoadShedding(InstantSource clock, String vm, LongSupplier vmsOfZone, Consumer<Event> events) {
+    LoadShedding(
+            InstantSource clock,
+            String vm,
+            LongSupplier lag,
+            LongSupplier vmsOfZone,
+            Consumer<Event> events) {
         this.clock = clock;
         this.vm = vm;
+        this.lag = lag;
         this.vmsOfZone = vmsOfZone;
         this.events = events;
         this.measuredMillis = clock.millis();
@@ -60,23 +63,14 @@
     @Override
     public void accept(VmLoad load) {
         long nowMillis = clock.millis();
-        long elapsedMillis = Math.min(nowMillis - measuredMillis, MAX_COUNTED_MILLIS);
+        measureRequests(Math.min(nowMillis - measuredMillis, MAX_COUNTED_MILLIS));
         measuredMillis = nowMillis;
-        measureTakenOn(elapsedMillis);
-        limit =
-                limit.map(now -> now.adjust(elapsedMillis, load.isBehind(), nowMillis))
-                        .filter(now -> now.requestsPerSecond() < UNLIMITED_PER_SECOND);
         boolean wasIn = rotation.isIn();
         rotation =
                 rotation.next(
-                        load, takenOnPerSecond, refused > 0, vmsOfZone.getAsLong(), nowMillis);
-        takenOn = 0;
+                        load, requestsPerSecond, refused > 0, vmsOfZone.getAsLong(), nowMillis);
+        arrived = 0;
         refused = 0;
-        if (rotation.isIn() && rotation.isChanging()) {
-            limit =
-                    limit.or(
-                            () -> Optional.of(RequestRateLimit.below(takenOnPerSecond, nowMillis)));
-        }
         if (wasIn && !rotation.isIn()) {
             leftMillis = nowMillis;
             note(EventKind.ROTATION_LEFT, load);
@@ -91,38 +85,35 @@
     }
 
     /**
-     * Takes on a request that arrives now, or counts it as refused. Returns empty if it is to be
-     * served; otherwise its body is not to be read, and the result is after how many milliseconds
-     * its caller should send it again over a new connection, which reaches another VM then.
+     * Counts a request that arrives now. Returns empty if it is to be served; otherwise its body is
+     * not to be read, and the result is after how many milliseconds its caller should send it again
+     * over a new connection, which reaches another VM then.
      */
     Optional<Long> takeOn() {
-        long nowMillis = clock.millis();
-        if (limit.filter(now -> !now.allowsOne(nowMillis)).isPresent()) {
-            refused++;
-            refusedInAll++;
-            return Optional.of(retryMillis(nowMillis));
+        arrived++;
+        if (rotation.isIn() || lag.getAsLong() < MAX_LAG_MILLIS) {
+            return Optional.empty();
         }
-        takenOn++;
-        limit = limit.map(now -> now.takeOne(nowMillis));
-        return Optional.empty();
+        refused++;
+        refusedInAll++;
+        return Optional.of(retryMillis());
     }
 
-    private long retryMillis(long nowMillis) {
-        long sinceLeftMillis = rotation.isIn() ? 0 : nowMillis - leftMillis;
-        long untilMovedMillis = Math.max(0, MOVE_MILLIS - sinceLeftMillis);
+    private long retryMillis() {
+        long untilMovedMillis = Math.max(0, leftMillis + MOVE_MILLIS - clock.millis());
         return RECONNECT_MILLIS
                 + untilMovedMillis
                 + refusedInAll * SPREAD_STEP_MILLIS % SPREAD_MILLIS;
     }
 
-    private void measureTakenOn(long elapsedMillis) {
+    private void measureRequests(long elapsedMillis) {
         double weight = 1 - Math.exp(-elapsedMillis / MILLIS_PER_SECOND);
-        double newest = takenOn * MILLIS_PER_SECOND / Math.max(1, elapsedMillis);
-        takenOnPerSecond += weight * (newest - takenOnPerSecond);
+        double newest = arrived * MILLIS_PER_SECOND / Math.max(1, elapsedMillis);
+        requestsPerSecond += weight * (newest - requestsPerSecond);
     }
 
     private void note(EventKind kind, VmLoad load) {
         events.accept(
-                Event.of(kind, vm, load + " requestsPerSecond=" + Math.round(takenOnPerSecond)));
+                Event.of(kind, vm, load + " requestsPerSecond=" + Math.round(requestsPerSecond)));
     }
 }
