--- a/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
+++ b/gateway/src/main/java/org/bramleylatch/gateway/LoadShedding.java
@@ -19,7 +19,7 @@
 
     private static final long RECONNECT_MILLIS = 50;
 
-    /** Spreads the return of callers that are refused together, in steps that don't divide it. */
+    /** Spreads the return of callers that are refused together. */
     private static final long SPREAD_MILLIS = 500;
 
     private static final long SPREAD_STEP_MILLIS = 37;
