--- a/review/later/Scene.java
+++ b/review/later/Scene.java
@@ -165,6 +165,11 @@
         return result;
     }
 
+    /** Sleeps for a time, but not past the given end. */
+    void sleep(long millis, long endMillis) throws InterruptedException {
+        Thread.sleep(Math.max(0, Math.min(millis, endMillis - record.millis())));
+    }
+
     static void countInto(Map<String, Integer> counts, String result) {
         synchronized (counts) {
             counts.merge(result, 1, Integer::sum);
