--- a/review/later/Store.java
+++ b/review/later/Store.java
@@ -35,6 +35,7 @@
     private long era;
     private boolean away;
     private volatile double lostShare;
+    private volatile long keepMillis = Long.MAX_VALUE;
     private long refusedForSize;
 
     Store(Consumer<String> log) throws IOException {
@@ -73,6 +74,23 @@
         add(topic, record.array());
     }
 
+    /** Sets the time after which records expire, but for the newest ones of keyed topics. */
+    void setKeepMillis(long millis) {
+        keepMillis = millis;
+    }
+
+    private synchronized long firstOf(String topic) {
+        List<Entry> entries = entries(topic);
+        long now = System.currentTimeMillis();
+        int first = 0;
+        while (!topic.startsWith("keyed.")
+                && first < entries.size()
+                && now - entries.get(first).atMillis() > keepMillis) {
+            first++;
+        }
+        return first;
+    }
+
     /** Sets the share of appends that are done, at once or later, and not answered. */
     void setLostShare(double share) {
         lostShare = share;
@@ -187,7 +205,9 @@
                 System.currentTimeMillis() + Long.parseLong(query.getOrDefault("waitMs", "0"));
         int maxBytes = Integer.parseInt(query.getOrDefault("maxKb", "1024")) * 1024;
         ByteArrayOutputStream page = new ByteArrayOutputStream();
+        long first;
         synchronized (this) {
+            first = firstOf(query.get("topic"));
             long eraAtStart = era;
             long waitMillis = until - System.currentTimeMillis();
             while (from == endOf(query.get("topic")) && waitMillis > 0 && !away && era == eraAtStart) {
@@ -195,8 +215,8 @@
                 waitMillis = until - System.currentTimeMillis();
             }
             List<Entry> entries = entries(query.get("topic"));
-            if (!away && from <= entries.size()) {
-                page.writeBytes(ByteBuffer.allocate(16).putLong(entries.size()).putLong(0).array());
+            if (!away && from >= first && from <= entries.size()) {
+                page.writeBytes(ByteBuffer.allocate(16).putLong(entries.size()).putLong(first).array());
                 for (int i = (int) from; i < entries.size() && page.size() < maxBytes; i++) {
                     byte[] record = entries.get(i).bytes();
                     page.writeBytes(ByteBuffer.allocate(4).putInt(record.length).array());
@@ -207,7 +227,7 @@
         if (isAway()) {
             answer(call, 503, "{}");
         } else if (page.size() == 0) {
-            answer(call, 410, "{\"firstOffset\":0}");
+            answer(call, 410, "{\"firstOffset\":" + first + "}");
         } else {
             answer(call, 200, page.toByteArray());
         }
