--- a/review/later/Store.java
+++ b/review/later/Store.java
@@ -35,7 +35,7 @@
     private long era;
     private boolean away;
     private volatile double lostShare;
-    private volatile long keepMillis = Long.MAX_VALUE;
+    private volatile long keepMillis = 300_000;
     private long refusedForSize;
 
     Store(Consumer<String> log) throws IOException {
@@ -79,6 +79,10 @@
         keepMillis = millis;
     }
 
+    long keepSeconds() {
+        return keepMillis / 1_000;
+    }
+
     private synchronized long firstOf(String topic) {
         List<Entry> entries = entries(topic);
         long now = System.currentTimeMillis();
@@ -108,6 +112,20 @@
         notifyAll();
     }
 
+    /** Returns the newest value of a key, or an empty text. */
+    synchronized String newestValue(String topic, String key) {
+        String newest = "";
+        for (Entry entry : entries(topic)) {
+            int valueStart = 1 + (entry.bytes()[0] & 0xff);
+            String name = new String(entry.bytes(), 1, valueStart - 1, StandardCharsets.UTF_8);
+            if (name.equals(key)) {
+                byte[] value = Arrays.copyOfRange(entry.bytes(), valueStart, entry.bytes().length);
+                newest = new String(value, StandardCharsets.UTF_8);
+            }
+        }
+        return newest;
+    }
+
     synchronized long endOf(String topic) {
         return entries(topic).size();
     }
--- a/review/later/Vm.java
+++ b/review/later/Vm.java
@@ -57,17 +57,22 @@
                   "recoveryS": 12, "settle_ms": 1500},
                  "provider": {"address": "%s", "form": "log", "writesPerS": 800,
                   "readsPerS": 2000, "parts": 12, "appendMs": 2.0, "recordBytes": %d,
-                  "callBytes": %d, "keep_s": 300, "partMb": 200, "ttlMinMs": 1000}}
+                  "callBytes": %d, "keep_s": %d, "partMb": 200, "ttlMinMs": 1000}}
                 """
                         .formatted(
                                 name, ip, zone, ip, frontPort, ip, readyPort, internalPort,
                                 internalPort + 1, store.address(), Store.RECORD_BYTES,
-                                Store.CALL_BYTES));
+                                Store.CALL_BYTES, store.keepSeconds()));
     }
 
     /** Starts the process; it may take seconds until it is ready. */
     void start() throws IOException {
         starts++;
+        if (starts == 2) {
+            Path settings = folder.resolve("boot.json");
+            String text = Files.readString(settings);
+            Files.writeString(settings, text.replace("\"bootstrap\": true", "\"bootstrap\": false"));
+        }
         List<String> command = new ArrayList<>(List.of(runCommand().split(" +")));
         ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
         builder.environment().keySet()
