--- a/review/later/Back.java
+++ b/review/later/Back.java
@@ -21,7 +21,7 @@
     private final String zone;
     private final String version;
     private final int slots;
-    private final ServerSocket listener;
+    private volatile ServerSocket listener;
     private final long bornMillis = System.currentTimeMillis();
     private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
     private volatile boolean stopped;
@@ -75,6 +75,24 @@
         channels.forEach(Back::closeQuietly);
     }
 
+    /** Crashes, and is back at the same address some seconds later. */
+    void crash(long downMillis) throws IOException, InterruptedException {
+        int port = port();
+        stop();
+        Thread.sleep(downMillis);
+        ServerSocket again = new ServerSocket();
+        again.setReuseAddress(true);
+        again.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 512);
+        listener = again;
+        stopped = false;
+        daemon(this::accept);
+        daemon(this::ping);
+    }
+
+    boolean isStopped() {
+        return stopped;
+    }
+
     void removeEntry() {
         store.put("keyed.servers", id, "");
     }
