--- a/review/later/Back.java
+++ b/review/6/Back.java
@@ -22,7 +22,7 @@
     private final String version;
     private final int slots;
     private volatile ServerSocket listener;
-    private final long bornMillis = System.currentTimeMillis();
+    private volatile long bornMillis = System.currentTimeMillis();
     private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
     private volatile boolean stopped;
     private volatile String state = "ready";
@@ -84,6 +84,7 @@
         again.setReuseAddress(true);
         again.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 512);
         listener = again;
+        bornMillis = System.currentTimeMillis();
         stopped = false;
         daemon(this::accept);
         daemon(this::ping);
